--- /dev/null
+++ b/mimosahaven/links.py
@@ -0,0 +1,353 @@
+"""ZeroMQ links between daemons."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+import zmq
+from loguru import logger
+from zmq.utils import monitor as zmq_monitor
+
+from mimosahaven import clock
+from mimosahaven import clockskew
+from mimosahaven import errors
+from mimosahaven import messages
+from mimosahaven import settings as settings_lib
+
+PREFIX = "link:"
+# Bounds the time that one wake-up keeps the loop from other work.
+MESSAGES_PER_WAKEUP = 64
+# A route that has sent nothing for this long is forgotten.
+ROUTE_TTL_MS = 60_000
+
+
+class Channel:
+    """A non-blocking ZeroMQ socket on the event loop."""
+
+    def __init__(
+        self,
+        socket: zmq.Socket,
+        on_frames: Callable[[list[bytes]], None],
+    ):
+        self._socket = socket
+        self._on_frames = on_frames
+        self._loop = asyncio.get_running_loop()
+        self._fd = socket.getsockopt(zmq.FD)
+        self._closed = False
+        self._scheduled = False
+        self._loop.add_reader(self._fd, self._drain)
+
+    def send(self, frames: list[bytes]) -> bool:
+        """Sends without blocking; returns False when it cannot."""
+        if self._closed:
+            return False
+        try:
+            self._socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return False
+        finally:
+            # The file descriptor is edge-triggered: a send can consume the
+            # edge of a message that has arrived meanwhile.
+            self._schedule()
+        return True
+
+    def close(self) -> None:
+        """Closes the socket and drops unsent messages."""
+        if self._closed:
+            return
+        self._closed = True
+        self._loop.remove_reader(self._fd)
+        self._socket.close(linger=0)
+
+    def _schedule(self) -> None:
+        if self._scheduled or self._closed:
+            return
+        if self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+            self._scheduled = True
+            self._loop.call_soon(self._drain)
+
+    def _drain(self) -> None:
+        self._scheduled = False
+        for _ in range(MESSAGES_PER_WAKEUP):
+            if self._closed:
+                return
+            try:
+                frames = self._socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.ZMQError:
+                return
+            self._on_frames(frames)
+        self._schedule()
+
+
+@dataclasses.dataclass
+class Route:
+    """The way back to a peer that has connected to this daemon.
+
+    Attributes:
+      frame: ZeroMQ routing frame.
+      target: Name of the peer's target, empty before its Hello.
+      incarnation: Incarnation of the peer.
+      last_ms: Time of the last message.
+    """
+
+    frame: bytes
+    target: str = ""
+    incarnation: str = ""
+    last_ms: float = 0.0
+    skew: clockskew.SkewEstimator = dataclasses.field(
+        default_factory=clockskew.SkewEstimator
+    )
+
+
+class Link:
+    """The connection of this daemon to one peer."""
+
+    def __init__(self, hub: "LinkHub", target: str, endpoint: str):
+        self.target = target
+        self.endpoint = endpoint
+        self.incarnation = ""
+        self.up = asyncio.Event()
+        self.last_used_ms = clock.monotonic_ms()
+        self.last_heard_ms = self.last_used_ms
+        self.last_ping_ms = 0.0
+        self._hub = hub
+        socket = hub.context.socket(zmq.DEALER)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, hub.settings.links.high_water_messages)
+        socket.setsockopt(zmq.RECONNECT_IVL, 50)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1_000)
+        self._monitor = Channel(
+            socket.get_monitor_socket(
+                zmq.EVENT_CONNECTED | zmq.EVENT_DISCONNECTED
+            ),
+            self._on_event,
+        )
+        self._socket = socket
+        self._channel = Channel(socket, self._on_frames)
+        socket.connect(endpoint)
+
+    def send(self, message: messages.Message, now_ms: float) -> bool:
+        """Sends a message; returns False when the link cannot take it."""
+        self.last_used_ms = now_ms
+        return self._channel.send([messages.encode(message)])
+
+    def hello(self, now_ms: float) -> None:
+        """Sends the opening message."""
+        self._channel.send(
+            [
+                messages.encode(
+                    messages.Hello(
+                        self._hub.target, self._hub.incarnation, now_ms
+                    )
+                )
+            ]
+        )
+
+    def close(self) -> None:
+        """Closes the link; nothing is delivered afterwards."""
+        self._socket.disable_monitor()
+        self._monitor.close()
+        self._channel.close()
+
+    def _on_event(self, frames: list[bytes]) -> None:
+        event = zmq_monitor.parse_monitor_message(frames)["event"]
+        if event == zmq.EVENT_CONNECTED:
+            self.hello(clock.monotonic_ms())
+        elif self.up.is_set():
+            self._hub.lose(self, "disconnected")
+
+    def _on_frames(self, frames: list[bytes]) -> None:
+        now_ms = clock.monotonic_ms()
+        message = self._hub.decode(frames[-1])
+        if message is None:
+            return
+        self.last_heard_ms = now_ms
+        if isinstance(message, messages.HelloAck):
+            self._hub.welcome(self, message)
+        elif not isinstance(message, messages.Pong):
+            self._hub.handler.on_answer(self, message, now_ms)
+
+
+class Handler:
+    """What a hub calls; subclasses take in the messages."""
+
+    def on_request(
+        self,
+        route: Route,
+        message: messages.AnyMessage,
+        waited_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Takes in a message from a peer that connected to this daemon."""
+
+    def on_answer(
+        self, link: Link, message: messages.AnyMessage, now_ms: float
+    ) -> None:
+        """Takes in a message from a peer that this daemon connected to."""
+
+    def on_link_up(self, link: Link) -> None:
+        """Learns that a link can be used."""
+
+    def on_link_lost(self, link: Link, reason: str) -> None:
+        """Learns that a link was replaced by a new one."""
+
+
+class LinkHub:
+    """All links of one daemon."""
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        incarnation: str,
+        handler: Handler,
+    ):
+        self.settings = settings
+        self.target = settings.target.name
+        self.incarnation = incarnation
+        self.handler = handler
+        self.context = zmq.Context()
+        self.malformed_count = 0
+        self._links: dict[str, Link] = {}
+        self._routes: dict[bytes, Route] = {}
+        self._server: Channel | None = None
+
+    def start(self) -> None:
+        """Binds the socket that peers connect to.
+
+        Raises:
+          zmq.ZMQError: The address cannot be bound.
+        """
+        socket = self.context.socket(zmq.ROUTER)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        socket.setsockopt(
+            zmq.MAXMSGSIZE, self.settings.max_body_bytes + 1_048_576
+        )
+        socket.setsockopt(zmq.RCVHWM, self.settings.links.high_water_messages)
+        link = self.settings.link
+        socket.bind(f"tcp://{link.host}:{link.port}")
+        self._server = Channel(socket, self._on_frames)
+
+    def stop(self) -> None:
+        """Closes all sockets."""
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+        if self._server:
+            self._server.close()
+        self.context.term()
+
+    def link_to(self, target: str, host: str, port: int) -> Link:
+        """Returns the link to a peer and makes it when there is none."""
+        endpoint = f"tcp://{host}:{port}"
+        link = self._links.get(target)
+        if link and link.endpoint == endpoint:
+            return link
+        if link:
+            self.lose(link, "address changed", replace=False)
+        link = Link(self, target, endpoint)
+        self._links[target] = link
+        return link
+
+    def links(self) -> list[Link]:
+        """Returns the present links."""
+        return list(self._links.values())
+
+    def routes(self) -> list[Route]:
+        """Returns the peers that are connected to this daemon."""
+        return list(self._routes.values())
+
+    def reply(self, route: Route, message: messages.Message) -> bool:
+        """Sends to a connected peer; returns False when it is gone."""
+        if self._server is None:
+            return False
+        return self._server.send([route.frame, messages.encode(message)])
+
+    def lose(self, link: Link, reason: str, replace: bool = True) -> None:
+        """Replaces a link that does not work any more."""
+        if self._links.get(link.target) is not link:
+            return
+        link.close()
+        if replace:
+            self._links[link.target] = Link(self, link.target, link.endpoint)
+        else:
+            del self._links[link.target]
+        logger.info("{} {} lost: {}", PREFIX, link.target, reason)
+        self.handler.on_link_lost(link, reason)
+
+    def welcome(self, link: Link, ack: messages.HelloAck) -> None:
+        """Takes in the answer to Hello."""
+        link.incarnation = ack.incarnation
+        if not link.up.is_set():
+            link.up.set()
+            self.handler.on_link_up(link)
+
+    def forgive_silence(self, now_ms: float) -> None:
+        """Restarts the silence timers, after a pause of this process."""
+        for link in self._links.values():
+            link.last_heard_ms = now_ms
+
+    def tick(self, now_ms: float) -> None:
+        """Sends heartbeats and replaces silent links."""
+        limits = self.settings.links
+        for link in list(self._links.values()):
+            if now_ms - link.last_used_ms > limits.idle_ms:
+                link.last_heard_ms = now_ms
+                continue
+            if now_ms - link.last_heard_ms > limits.silence_ms:
+                if self.settings.mechanisms.heartbeat:
+                    self.lose(link, "silent")
+                continue
+            if now_ms - link.last_ping_ms >= limits.heartbeat_ms:
+                link.last_ping_ms = now_ms
+                if link.up.is_set():
+                    link._channel.send([messages.encode(messages.Ping(now_ms))])
+                else:
+                    link.hello(now_ms)
+        self._forget_routes(now_ms)
+
+    def decode(self, data: bytes) -> messages.AnyMessage | None:
+        """Decodes a message; counts and drops what is malformed."""
+        try:
+            return messages.decode(data)
+        except errors.MimosahavenError as error:
+            self.malformed_count += 1
+            logger.warning("{} message dropped: {}", PREFIX, error)
+            return None
+
+    def _forget_routes(self, now_ms: float) -> None:
+        old = [
+            frame
+            for frame, route in self._routes.items()
+            if now_ms - route.last_ms > ROUTE_TTL_MS
+        ]
+        for frame in old:
+            del self._routes[frame]
+
+    def _on_frames(self, frames: list[bytes]) -> None:
+        now_ms = clock.monotonic_ms()
+        if len(frames) != 2:
+            self.malformed_count += 1
+            return
+        message = self.decode(frames[1])
+        if message is None:
+            return
+        route = self._routes.get(frames[0])
+        if route is None:
+            route = self._routes[frames[0]] = Route(frames[0])
+        route.last_ms = now_ms
+        sent_ms = getattr(message, "sent_ms", None)
+        waited_ms = 0.0
+        if sent_ms is not None:
+            waited_ms = route.skew.observe(sent_ms, now_ms)
+        if isinstance(message, messages.Hello):
+            route.target = message.target
+            route.incarnation = message.incarnation
+            ack = messages.HelloAck(
+                self.target, self.incarnation, now_ms, message.sent_ms
+            )
+            self.reply(route, ack)
+        elif isinstance(message, messages.Ping):
+            self.reply(route, messages.Pong(now_ms, message.sent_ms))
+        else:
+            self.handler.on_request(route, message, waited_ms, now_ms)
--- /dev/null
+++ b/mimosahaven/messages.py
@@ -0,0 +1,295 @@
+"""Messages between daemons and their codec."""
+
+import msgspec
+
+from mimosahaven import codes
+from mimosahaven import errors
+
+PROTOCOL_VERSION = 1
+
+
+class UnsupportedVersionError(errors.MimosahavenError):
+    """A message of another protocol version.
+
+    Attributes:
+      version: Version found in the message.
+    """
+
+    def __init__(self, version: int):
+        super().__init__(
+            codes.Code.VERSION_UNSUPPORTED, f"protocol version {version}"
+        )
+        self.version = version
+
+
+class MalformedMessageError(errors.MimosahavenError):
+    """Bytes that are no message of this protocol."""
+
+    def __init__(self, detail: str):
+        super().__init__(codes.Code.MALFORMED, detail)
+
+
+class Message(
+    msgspec.Struct, array_like=True, tag_field="type", omit_defaults=True
+):
+    """Base of all messages."""
+
+
+class Hello(Message, tag=1):
+    """Opens a link; sent_ms is the sender's monotonic clock."""
+
+    target: str
+    incarnation: str
+    sent_ms: float
+
+
+class HelloAck(Message, tag=2):
+    """Answers Hello and echoes its clock reading."""
+
+    target: str
+    incarnation: str
+    sent_ms: float
+    echo_ms: float
+
+
+class Ping(Message, tag=3):
+    """Heartbeat of a link in use."""
+
+    sent_ms: float
+
+
+class Pong(Message, tag=4):
+    """Answers Ping and echoes its clock reading."""
+
+    sent_ms: float
+    echo_ms: float
+
+
+class Call(Message, tag=5):
+    """One attempt of a call.
+
+    Attributes:
+      call_id: Identity of the call, equal for all attempts.
+      attempt: Number of the attempt, from 0.
+      action_id: Action that the call belongs to.
+      incarnation: Incarnation of the daemon that the attempt is meant for.
+      sent_ms: Sender's monotonic clock.
+      remaining_ms: Time left until the deadline at sent_ms.
+      budget: Part of the retry budget that is passed down.
+      forwarded: True when an entry forwards a caller's request to its owner.
+    """
+
+    call_id: str
+    attempt: int
+    action_id: str
+    caller: str
+    kind: str
+    service: str
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    incarnation: str
+    sent_ms: float
+    remaining_ms: float
+    budget: int
+    forwarded: bool = False
+    key: str = ""
+
+
+class Result(Message, tag=6):
+    """Outcome of an attempt.
+
+    Attributes:
+      code: Result code.
+      status: HTTP status of the target, 0 when there is none.
+      unused_budget: Part of the retry budget that comes back.
+      thresholds: Shed threshold and its age in ms, for each service below.
+      load: Outstanding calls of the guard, divided by its limit.
+      threshold: Shed threshold of this guard.
+    """
+
+    call_id: str
+    attempt: int
+    code: int
+    status: int = 0
+    headers: list[tuple[str, str]] = []
+    body: bytes = b""
+    unused_budget: int = 0
+    thresholds: dict[str, tuple[int, float]] = {}
+    load: float = 0.0
+    threshold: int = 0
+
+
+class Inquire(Message, tag=7):
+    """Asks for the outcome of a call; an unseen call gets barred."""
+
+    call_id: str
+    attempt: int
+    incarnation: str
+
+
+class InquiryReply(Message, tag=8):
+    """Answers Inquire.
+
+    Attributes:
+      state: "done", "running", "barred" or "other-incarnation".
+      result: The outcome when the state is "done".
+    """
+
+    call_id: str
+    attempt: int
+    state: str
+    result: Result | None = None
+
+
+class Cancel(Message, tag=9):
+    """Tells a guard that nobody waits for a call any more."""
+
+    call_id: str
+
+
+class SelfReport(Message, tag=10):
+    """What a daemon says of itself.
+
+    Attributes:
+      state: "starting", "ready" or "leaving".
+      sequence: Grows with each change of the report in one incarnation.
+    """
+
+    target: str
+    service: str
+    incarnation: str
+    state: str
+    sequence: int
+
+
+class Strike(Message, tag=11):
+    """A call content that was in flight when a target crashed.
+
+    Attributes:
+      fingerprint: Hash of the content.
+      crash_id: Identity of the crash: target name, incarnation, number.
+      alone: True when it ran as the only suspect.
+    """
+
+    fingerprint: str
+    crash_id: str
+    alone: bool
+
+
+class Clear(Message, tag=12):
+    """A suspect content that has since succeeded."""
+
+    fingerprint: str
+
+
+class Digest(Message, tag=13):
+    """Gossip digest.
+
+    Attributes:
+      report: The sender's own report.
+      table_version: Version of its table, 0 for none.
+      table_hash: Hash of the table's text.
+      list_version: Version of its list of VMs, 0 for none.
+      platform_age_ms: Time since the sender, or a watcher it heard of, was
+        answered by the platform; negative for never.
+      surplus: Tokens left over, by row id.
+      reports: Recent reports about others.
+      strikes: Recent strikes.
+      reply_wanted: True when the receiver shall answer with its digest.
+    """
+
+    report: SelfReport
+    table_version: int
+    table_hash: str
+    list_version: int
+    platform_age_ms: float
+    surplus: dict[str, float] = {}
+    reports: list[SelfReport] = []
+    strikes: list[Strike] = []
+    reply_wanted: bool = False
+
+
+class TableDocument(Message, tag=14):
+    """The text of a table."""
+
+    version: int
+    text: str
+
+
+class ListDocument(Message, tag=15):
+    """The text of a list of VMs."""
+
+    version: int
+    text: str
+
+
+class DocumentRequest(Message, tag=16):
+    """Asks a peer for its table or list when it is newer."""
+
+    table_version: int
+    list_version: int
+
+
+class TokenRequest(Message, tag=17):
+    """Asks a peer of the own failure domain for tokens of a row."""
+
+    row: str
+    amount: float
+
+
+class TokenGrant(Message, tag=18):
+    """Hands over tokens that the sender has already given up."""
+
+    row: str
+    amount: float
+
+
+AnyMessage = (
+    Hello
+    | HelloAck
+    | Ping
+    | Pong
+    | Call
+    | Result
+    | Inquire
+    | InquiryReply
+    | Cancel
+    | SelfReport
+    | Strike
+    | Clear
+    | Digest
+    | TableDocument
+    | ListDocument
+    | DocumentRequest
+    | TokenRequest
+    | TokenGrant
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode(message: Message) -> bytes:
+    """Encodes a message with the protocol version as its first byte."""
+    buffer = bytearray((PROTOCOL_VERSION,))
+    _encoder.encode_into(message, buffer, 1)
+    return bytes(buffer)
+
+
+def decode(data: bytes) -> AnyMessage:
+    """Decodes a message.
+
+    Raises:
+      UnsupportedVersionError: The message has another protocol version.
+      MalformedMessageError: The bytes are no message.
+    """
+    if not data:
+        raise MalformedMessageError("empty message")
+    if data[0] != PROTOCOL_VERSION:
+        raise UnsupportedVersionError(data[0])
+    try:
+        return _decoder.decode(memoryview(data)[1:])
+    except msgspec.MsgspecError as error:
+        raise MalformedMessageError(str(error)) from error
--- /dev/null
+++ b/mimosahaven/settings.py
@@ -0,0 +1,250 @@
+"""Settings of a daemon, read from JSON with comments."""
+
+import ipaddress
+import pathlib
+from typing import Annotated
+from typing import Literal
+
+import json5
+import pydantic
+
+from mimosahaven import codes
+from mimosahaven import errors
+
+
+class SettingsError(errors.MimosahavenError):
+    """Settings that cannot be used.
+
+    Attributes:
+      faults: One line for each fault: file, field, value, what is allowed.
+    """
+
+    def __init__(self, faults: list[str]):
+        super().__init__(codes.Code.SETTINGS_INVALID, "; ".join(faults))
+        self.faults = faults
+
+
+def _check_ip(value: str) -> str:
+    ipaddress.ip_address(value)
+    return value
+
+
+IpNumber = Annotated[str, pydantic.AfterValidator(_check_ip)]
+Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
+PositiveMs = Annotated[float, pydantic.Field(gt=0, le=3_600_000)]
+Count = Annotated[int, pydantic.Field(ge=1, le=10_000_000)]
+
+
+class Part(pydantic.BaseModel):
+    """Base of the settings models: unknown fields are refused."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Endpoint(Part):
+    """An IP number and a port."""
+
+    host: IpNumber
+    port: Port
+
+
+class TargetSettings(Part):
+    """The local target and where it stands."""
+
+    name: Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9_-]{1,64}$")]
+    service: Annotated[str, pydantic.Field(pattern=r"^[a-z0-9_-]{1,64}$")]
+    failure_domain: str
+    region: str = ""
+    endpoint: Endpoint
+    slots: Count = 100
+    connections: Count = 700
+
+
+class AdmissionSettings(Part):
+    """Admission control at the guard."""
+
+    algorithm: str = "aimd"
+    queue_factor: Annotated[float, pydantic.Field(ge=0, le=10)] = 1.0
+    queue_wait_target_ms: PositiveMs = 20
+    cold_limit_share: Annotated[float, pydantic.Field(gt=0, le=1)] = 0.2
+    slow_start_ms: PositiveMs = 5_000
+    reserve_share_max: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.5
+
+
+class SheddingSettings(Part):
+    """Shed threshold of the guard and its copies upstream."""
+
+    window_ms: PositiveMs = 100
+    expiry_ms: PositiveMs = 1_000
+    probe_one_in: Count = 50
+
+
+class LedgerSettings(Part):
+    """Ledger of calls that ran or were barred."""
+
+    action_window_ms: PositiveMs = 120_000
+    records_max: Count = 200_000
+    answer_bytes_max: Count = 16_777_216
+    key_view_max_age_ms: PositiveMs = 10_000
+
+
+class RetrySettings(Part):
+    """Retries beside the budget of the row."""
+
+    ratio: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.1
+    per_s_min: Annotated[float, pydantic.Field(ge=0)] = 1.0
+    window_ms: PositiveMs = 10_000
+
+
+class RoutingSettings(Part):
+    """Choice of targets."""
+
+    algorithm: str = "two_choices"
+    subset_size: Count = 8
+    local_min: Count = 2
+    ejection_failures: Count = 5
+    ejection_ms: PositiveMs = 1_000
+    ejection_max_ms: PositiveMs = 30_000
+    slow_start_ms: PositiveMs = 5_000
+
+
+class LinkSettings(Part):
+    """Links between daemons."""
+
+    heartbeat_ms: PositiveMs = 500
+    silence_ms: PositiveMs = 1_200
+    idle_ms: PositiveMs = 5_000
+    high_water_messages: Count = 10_000
+
+
+class GossipSettings(Part):
+    """Gossip between daemons and reads of the platform."""
+
+    interval_ms: PositiveMs = 500
+    push_fanout: Count = 4
+    watchers_per_domain: Count = 2
+    watcher_silence_ms: PositiveMs = 3_000
+    contact_max_age_ms: PositiveMs = 2_000
+    reads_per_s_per_domain: Annotated[float, pydantic.Field(gt=0)] = 20
+    watch_wait_ms: PositiveMs = 10_000
+    join_wait_ms: PositiveMs = 1_000
+    share_settle_ms: PositiveMs = 10_000
+
+
+class PauseSettings(Part):
+    """Detection of pauses of the own process."""
+
+    gap_ms: PositiveMs = 1_000
+    tick_ms: PositiveMs = 100
+    backlog_ms: PositiveMs = 200
+    refresh_wait_ms: PositiveMs = 500
+
+
+class QuarantineSettings(Part):
+    """Contents that crash targets."""
+
+    hold_ms: PositiveMs = 600_000
+    suspect_ms: PositiveMs = 60_000
+
+
+class LogSettings(Part):
+    """Decision log on standard error."""
+
+    format: Literal["text", "json"] = "text"
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    kept_decisions: Count = 20_000
+
+
+class MetricsSettings(Part):
+    """Statsd metrics; no endpoint means none are sent."""
+
+    endpoint: Endpoint | None = None
+    prefix: str = "mimosahaven"
+    interval_ms: PositiveMs = 1_000
+
+
+class MechanismSettings(Part):
+    """Switches for single mechanisms, for differential tests."""
+
+    admission: bool = True
+    shed_at_entry: bool = True
+    reserve: bool = True
+    chain_budget: bool = True
+    inquire: bool = True
+    ledger: bool = True
+    incarnation_check: bool = True
+    clock_skew: bool = True
+    pause_detector: bool = True
+    heartbeat: bool = True
+    quarantine: bool = True
+    ejection: bool = True
+    gossip: bool = True
+    table_order: bool = True
+    row_limits: bool = True
+    drain: bool = True
+    whole_answers: bool = True
+
+
+class Settings(Part):
+    """All settings of one daemon."""
+
+    target: TargetSettings
+    entry: Endpoint
+    link: Endpoint
+    platform: Endpoint | None = None
+    seeds: list[Endpoint] = []
+    max_body_bytes: Count = 8_388_608
+    drain_ms: PositiveMs = 30_000
+    seed: int | None = None
+    admission: AdmissionSettings = AdmissionSettings()
+    shedding: SheddingSettings = SheddingSettings()
+    ledger: LedgerSettings = LedgerSettings()
+    retry: RetrySettings = RetrySettings()
+    routing: RoutingSettings = RoutingSettings()
+    links: LinkSettings = LinkSettings()
+    gossip: GossipSettings = GossipSettings()
+    pause: PauseSettings = PauseSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
+    log: LogSettings = LogSettings()
+    metrics: MetricsSettings = MetricsSettings()
+    mechanisms: MechanismSettings = MechanismSettings()
+
+
+def parse(text: str, file_name: str) -> Settings:
+    """Parses and checks the text of a settings file.
+
+    Args:
+      text: JSON with comments.
+      file_name: Name used in the error.
+
+    Raises:
+      SettingsError: The text is not JSON, or a field is not allowed.
+    """
+    try:
+        raw = json5.loads(text)
+    except ValueError as error:
+        raise SettingsError([f"{file_name}: {error}"]) from error
+    try:
+        return Settings.model_validate(raw)
+    except pydantic.ValidationError as error:
+        raise SettingsError(
+            [_fault_line(file_name, fault) for fault in error.errors()]
+        ) from error
+
+
+def _fault_line(file_name: str, fault) -> str:
+    field = ".".join(str(step) for step in fault["loc"]) or "(document)"
+    return f"{file_name}: {field}: {fault['input']!r}: {fault['msg']}"
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Reads a settings file.
+
+    Raises:
+      SettingsError: The file cannot be read or its content is not allowed.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError([f"{path}: {error.strerror}"]) from error
+    return parse(text, str(path))
--- /dev/null
+++ b/mimosahaven/targetclient.py
@@ -0,0 +1,116 @@
+"""HTTP client towards the local target."""
+
+import dataclasses
+
+import aiohttp
+
+from mimosahaven import admission as admission_lib
+from mimosahaven import calls
+from mimosahaven import clock
+from mimosahaven import codes
+from mimosahaven import messages
+from mimosahaven import settings as settings_lib
+
+CONTEXT_HEADER = "Mimosahaven-Context"
+DEADLINE_HEADER = "Mimosahaven-Deadline-Ms"
+# Headers that hold for one connection only (RFC 9110, section 7.6.1), or
+# that the HTTP library sets by itself.
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "host",
+        "keep-alive",
+        "server",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+Code = codes.Code
+Outcome = admission_lib.Outcome
+
+
+@dataclasses.dataclass
+class Answer:
+    """What the target answered, or why there is no answer."""
+
+    code: Code
+    outcome: Outcome
+    status: int = 0
+    headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    body: bytes = b""
+
+
+class TargetClient:
+    """Sends calls to the local target."""
+
+    def __init__(self, settings: settings_lib.Settings):
+        endpoint = settings.target.endpoint
+        self._base = f"http://{endpoint.host}:{endpoint.port}"
+        self._settings = settings
+        self._session: aiohttp.ClientSession | None = None
+        # Statuses of the local service that say that a call did not run.
+        self.not_run_statuses: frozenset[int] = frozenset()
+
+    async def start(self) -> None:
+        """Opens the connection pool."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=self._settings.target.connections
+            ),
+            timeout=aiohttp.ClientTimeout(total=None),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def stop(self) -> None:
+        """Closes the connection pool."""
+        if self._session:
+            await self._session.close()
+
+    async def send(
+        self, call: messages.Call, context: calls.CallContext
+    ) -> Answer:
+        """Sends one call and waits for the whole answer."""
+        remaining_ms = context.deadline_ms - clock.monotonic_ms()
+        if remaining_ms <= 0:
+            return Answer(Code.DEADLINE_BEFORE_RUN, Outcome.REFUSED)
+        headers = [*call.headers]
+        headers.append((CONTEXT_HEADER, call.call_id))
+        headers.append((DEADLINE_HEADER, f"{remaining_ms:.0f}"))
+        try:
+            async with self._session.request(
+                call.method,
+                self._base + call.path,
+                headers=headers,
+                data=call.body or None,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=remaining_ms / 1000),
+            ) as response:
+                body = await response.read()
+                return self._answer(response, body)
+        except TimeoutError:
+            return Answer(Code.TIMEOUT, Outcome.TIMEOUT)
+        except aiohttp.ClientConnectorError:
+            return Answer(Code.TARGET_DOWN, Outcome.LOST)
+        except aiohttp.ClientPayloadError:
+            return Answer(Code.ANSWER_TRUNCATED, Outcome.LOST)
+        except (aiohttp.ClientError, OSError):
+            return Answer(Code.TARGET_LOST, Outcome.LOST)
+
+    def _answer(self, response: aiohttp.ClientResponse, body: bytes) -> Answer:
+        headers = [
+            (name, value)
+            for name, value in response.headers.items()
+            if name.lower() not in HOP_HEADERS
+        ]
+        code, outcome = Code.OK, Outcome.OK
+        if response.status in self.not_run_statuses:
+            code, outcome = Code.TARGET_REFUSED, Outcome.REFUSED
+        elif response.status >= 500:
+            code, outcome = Code.TARGET_ERROR, Outcome.ERROR
+        return Answer(code, outcome, response.status, headers, body)
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,30 @@
+"""Tests of mimosahaven.messages."""
+
+import testtools
+from testtools import matchers
+
+from mimosahaven import messages
+
+
+class DecodeTest(testtools.TestCase):
+    def test_round_trip(self):
+        result = messages.Result(
+            "a/1", 0, 1000, body=b"x", thresholds={"presse": (7, 2.0)}
+        )
+        self.assertThat(
+            messages.decode(messages.encode(result)), matchers.Equals(result)
+        )
+
+    def test_newer_version_is_refused(self):
+        # A daemon of a newer version must not be misread.
+        data = bytes([2]) + messages.encode(messages.Ping(1.0))[1:]
+        error = self.assertRaises(
+            messages.UnsupportedVersionError, messages.decode, data
+        )
+        self.assertThat(error.version, matchers.Equals(2))
+
+    def test_garbage_is_refused(self):
+        for data in (b"", b"\x01zz", b"\x01"):
+            self.assertRaises(
+                messages.MalformedMessageError, messages.decode, data
+            )
