Assemble the daemon and serve a nested call

Cause: no call could be served. The entry, dispatcher, router, guard and ZeroMQ links now carry a call to a target and its nested call onwards. Excluded: the library's asyncio sockets (0.2 ms more per hop, see design).

--- a/mimosahaven/calls.py
+++ b/mimosahaven/calls.py
@@ -27,6 +27,8 @@
     call_id: str
     action_id: str
     row: table_lib.Row
+    caller: str
+    kind: str
     priority: int
     deadline_ms: float
     budget: budget_lib.ChainBudget
--- /dev/null
+++ b/mimosahaven/daemon.py
@@ -0,0 +1,169 @@
+"""Assembles the parts of one daemon and runs them."""
+
+import asyncio
+import contextlib
+import random
+import signal
+
+import uvicorn
+from loguru import logger
+
+from mimosahaven import calls
+from mimosahaven import clock
+from mimosahaven import dispatch
+from mimosahaven import entry
+from mimosahaven import fleet as fleet_lib
+from mimosahaven import guard as guard_lib
+from mimosahaven import identity
+from mimosahaven import links as links_lib
+from mimosahaven import messages
+from mimosahaven import router as router_lib
+from mimosahaven import routing
+from mimosahaven import settings as settings_lib
+from mimosahaven import table as table_lib
+from mimosahaven import targetclient
+
+TICK_MS = 20
+# Time for the news of leaving to reach peers while new calls are refused.
+LEAVE_NOTICE_MS = 500
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves the signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        yield
+
+
+class Daemon(links_lib.Handler):
+    """One daemon: entry, router and guard of one target."""
+
+    def __init__(self, settings: settings_lib.Settings):
+        self.settings = settings
+        self.rng = random.Random(settings.seed)
+        self.incarnation = identity.new_incarnation(random.SystemRandom())
+        self.registry = calls.CallRegistry()
+        self.fleet = fleet_lib.FleetView()
+        self.hub = links_lib.LinkHub(settings, self.incarnation, self)
+        self.router = router_lib.Router(
+            settings, self.hub, self.fleet, routing.Chooser(self.rng)
+        )
+        self.client = targetclient.TargetClient(settings)
+        self.guard = guard_lib.Guard(
+            settings, self.incarnation, self.registry, self.client
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            settings, self.incarnation, self.registry, self.router
+        )
+        self._tasks: set[asyncio.Task] = set()
+        self._server: _Server | None = None
+        self._server_task: asyncio.Task | None = None
+
+    def use_table(self, table: table_lib.Table) -> None:
+        """Puts a table in force."""
+        self.guard.table = table
+        self.dispatcher.table = table
+        service = table.services.get(self.settings.target.service)
+        self.client.not_run_statuses = frozenset(
+            service.not_run_statuses if service else ()
+        )
+
+    async def start(self) -> None:
+        """Opens all sockets and starts the timers."""
+        await self.client.start()
+        self.hub.start()
+        app = entry.make_app(self.dispatcher, self.settings.max_body_bytes)
+        endpoint = self.settings.entry
+        self._server = _Server(
+            uvicorn.Config(
+                app,
+                host=endpoint.host,
+                port=endpoint.port,
+                http="httptools",
+                loop="none",
+                ws="none",
+                lifespan="off",
+                log_config=None,
+                access_log=False,
+                server_header=False,
+                date_header=False,
+            )
+        )
+        self._server_task = self.spawn(self._server.serve())
+        self.spawn(self._tick_forever())
+
+    def spawn(self, coroutine) -> asyncio.Task:
+        """Runs a coroutine as a task that is kept until it ends."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+        return task
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            logger.opt(exception=task.exception()).error("daemon: task failed")
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT, then drains and returns."""
+        stop_wanted = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop_wanted.set)
+        await self.start()
+        await stop_wanted.wait()
+        await self.drain()
+        await self.stop()
+
+    async def drain(self) -> None:
+        """Refuses new work and waits until nothing is in flight."""
+        logger.info("daemon: leaving, {} in flight", self.in_flight_count)
+        self.dispatcher.leaving = True
+        self.guard.leaving = True
+        started_ms = clock.monotonic_ms()
+        while clock.monotonic_ms() - started_ms < self.settings.drain_ms:
+            await asyncio.sleep(TICK_MS / 1000)
+            waited_ms = clock.monotonic_ms() - started_ms
+            if self.in_flight_count == 0 and waited_ms >= LEAVE_NOTICE_MS:
+                break
+        logger.info("daemon: stopping, {} in flight", self.in_flight_count)
+
+    @property
+    def in_flight_count(self) -> int:
+        """Requests being served and calls being run."""
+        return self.dispatcher.in_flight_count + self.guard.in_flight_count
+
+    async def stop(self) -> None:
+        """Closes everything."""
+        self._server.should_exit = True
+        await self._server_task
+        self.hub.stop()
+        await self.client.stop()
+
+    def on_request(self, route, message, waited_ms, now_ms) -> None:
+        """Takes in a message from a peer that connected to this daemon."""
+        if isinstance(message, messages.Call):
+            self.spawn(self._run_call(route, message, waited_ms, now_ms))
+
+    def on_answer(self, link, message, now_ms) -> None:
+        """Takes in a message from a peer that this daemon connected to."""
+        del now_ms
+        self.router.on_answer(link, message)
+
+    def on_link_lost(self, link, reason) -> None:
+        """Learns that a link was replaced."""
+        del reason
+        self.router.on_link_lost(link)
+
+    async def _run_call(self, route, call, waited_ms, now_ms) -> None:
+        result = await self.guard.run(call, waited_ms, now_ms)
+        if not self.hub.reply(route, result):
+            logger.info("guard: {} no way back", call.call_id)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            now_ms = clock.monotonic_ms()
+            self.guard.tick(now_ms)
+            self.hub.tick(now_ms)
+            await asyncio.sleep(TICK_MS / 1000)
--- a/mimosahaven/guard.py
+++ b/mimosahaven/guard.py
@@ -33,6 +33,8 @@
         self._admission = admission_lib.Admission(settings)
         self._waiting: dict[admission_lib.Ticket, asyncio.Future] = {}
         self.table: table_lib.Table | None = None
+        self.leaving = False
+        self.in_flight_count = 0
 
     async def run(
         self, call: messages.Call, waited_ms: float, received_ms: float
@@ -44,6 +46,15 @@
           waited_ms: Time that it waited in buffers before it was received.
           received_ms: Time of receipt.
         """
+        self.in_flight_count += 1
+        try:
+            return await self._run(call, waited_ms, received_ms)
+        finally:
+            self.in_flight_count -= 1
+
+    async def _run(
+        self, call: messages.Call, waited_ms: float, received_ms: float
+    ) -> messages.Result:
         context, code = self._check(call, waited_ms, received_ms)
         if context is None:
             return self._result(call, code, call.budget)
@@ -67,6 +78,8 @@
     ) -> tuple[calls.CallContext | None, Code]:
         if call.incarnation != self._incarnation:
             return None, Code.WRONG_INCARNATION
+        if self.leaving:
+            return None, Code.LEAVING
         if self.table is None:
             return None, Code.STARTING
         deadline_ms = received_ms + call.remaining_ms - waited_ms
@@ -79,6 +92,8 @@
             call_id=call.call_id,
             action_id=call.action_id,
             row=row,
+            caller=call.caller,
+            kind=call.kind,
             priority=identity.priority(row.weight, call.action_id),
             deadline_ms=deadline_ms,
             budget=budget_lib.ChainBudget(call.budget),
--- a/mimosahaven/identity.py
+++ b/mimosahaven/identity.py
@@ -85,7 +85,10 @@
       weight: Weight of the row.
       action_id: Text form of the action id.
     """
-    return weight * WEIGHT_STEP + xxhash.xxh3_64_intdigest(action_id) % 65536
+    return (
+        weight * WEIGHT_STEP
+        + xxhash.xxh3_64_intdigest(action_id.encode()) % 65536
+    )
 
 
 def fingerprint(
--- a/mimosahaven/targetclient.py
+++ b/mimosahaven/targetclient.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import aiohttp
+import yarl
 
 from mimosahaven import admission as admission_lib
 from mimosahaven import calls
@@ -13,6 +14,9 @@
 
 CONTEXT_HEADER = "Mimosahaven-Context"
 DEADLINE_HEADER = "Mimosahaven-Deadline-Ms"
+# Below the idle limit of common HTTP servers (5 s), since a request on a
+# connection that the target is just closing has an unknown outcome.
+KEEPALIVE_S = 2.0
 # Headers that hold for one connection only (RFC 9110, section 7.6.1), or
 # that the HTTP library sets by itself.
 HOP_HEADERS = frozenset(
@@ -60,12 +64,16 @@
         """Opens the connection pool."""
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
-                limit=self._settings.target.connections
+                limit=self._settings.target.connections,
+                keepalive_timeout=KEEPALIVE_S,
             ),
             timeout=aiohttp.ClientTimeout(total=None),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
+        # The library re-sends PUT and DELETE by itself on a broken pooled
+        # connection; the table may say that they are not idempotent.
+        self._session._retry_connection = False
 
     async def stop(self) -> None:
         """Closes the connection pool."""
@@ -85,7 +93,7 @@
         try:
             async with self._session.request(
                 call.method,
-                self._base + call.path,
+                yarl.URL(self._base + call.path, encoded=True),
                 headers=headers,
                 data=call.body or None,
                 allow_redirects=False,
@@ -104,9 +112,9 @@
 
     def _answer(self, response: aiohttp.ClientResponse, body: bytes) -> Answer:
         headers = [
-            (name, value)
-            for name, value in response.headers.items()
-            if name.lower() not in HOP_HEADERS
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in response.raw_headers
+            if name.decode("latin-1").lower() not in HOP_HEADERS
         ]
         code, outcome = Code.OK, Outcome.OK
         if response.status in self.not_run_statuses:
