Resolve unknown outcomes by inquiry before any other target is tried

Cause: a call whose link was lost was given up or re-sent without knowing whether it ran. Attempts are now matched by call id, attempt and target, and a lost non-idempotent attempt is inquired after; only a barred one may go to another target. Excluded: matching by order or by link, which crosses answers after a link is replaced.

--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -8,6 +8,7 @@
 import uvicorn
 from loguru import logger
 
+from mimosahaven import attempts
 from mimosahaven import calls
 from mimosahaven import clock
 from mimosahaven import dispatch
@@ -46,8 +47,10 @@
         self.registry = calls.CallRegistry()
         self.fleet = fleet_lib.FleetView()
         self.hub = links_lib.LinkHub(settings, self.incarnation, self)
+        self.attempts = attempts.Attempts(settings, self.hub)
+        self.chooser = routing.Chooser(settings, self.rng)
         self.router = router_lib.Router(
-            settings, self.hub, self.fleet, routing.Chooser(self.rng)
+            settings, self.fleet, self.chooser, self.attempts
         )
         self.client = targetclient.TargetClient(settings)
         self.guard = guard_lib.Guard(
@@ -149,12 +152,18 @@
     def on_answer(self, link, message, now_ms) -> None:
         """Takes in a message from a peer that this daemon connected to."""
         del now_ms
-        self.router.on_answer(link, message)
+        if isinstance(message, messages.Result | messages.InquiryReply):
+            self.attempts.on_answer(link, message)
+
+    def on_link_up(self, link) -> None:
+        """Learns that a link can be used."""
+        self.chooser.learn_up(link.target, clock.monotonic_ms())
 
     def on_link_lost(self, link, reason) -> None:
         """Learns that a link was replaced."""
         del reason
-        self.router.on_link_lost(link)
+        self.chooser.learn_lost(link.target, clock.monotonic_ms())
+        self.attempts.on_link_lost(link)
 
     async def _run_call(self, route, call, waited_ms, now_ms) -> None:
         result = await self.guard.run(call, waited_ms, now_ms)
--- a/mimosahaven/dispatch.py
+++ b/mimosahaven/dispatch.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 
+from mimosahaven import attempts
 from mimosahaven import budget as budget_lib
 from mimosahaven import calls
 from mimosahaven import clock
@@ -106,7 +107,7 @@
     async def _serve_nested(
         self, call: IncomingCall, parent: calls.CallContext
     ) -> messages.Result:
-        return await self._router.call(
+        routed = await self._router.call(
             router_lib.Request(
                 call_id=parent.next_child_id(),
                 context=parent,
@@ -117,6 +118,7 @@
                 body=call.body,
             )
         )
+        return routed.result
 
     async def _serve_fresh(self, call: IncomingCall) -> ServedCall:
         now_ms = clock.monotonic_ms()
@@ -124,7 +126,7 @@
         row = self.table.row_for(call.caller, call.kind)
         if row is None:
             return ServedCall(
-                router_lib.refusal("", 0, Code.UNKNOWN_KIND), action_id
+                attempts.refusal("", 0, Code.UNKNOWN_KIND), action_id
             )
         deadline_ms = row.deadline_ms
         if call.remaining_ms is not None:
@@ -139,7 +141,7 @@
             deadline_ms=now_ms + deadline_ms,
             budget=budget_lib.ChainBudget(row.retry_budget),
         )
-        result = await self._router.call(
+        routed = await self._router.call(
             router_lib.Request(
                 call_id=f"{action_id}/1",
                 context=context,
@@ -150,4 +152,4 @@
                 body=call.body,
             )
         )
-        return ServedCall(result, action_id, self.issue_action_id())
+        return ServedCall(routed.result, action_id, self.issue_action_id())
