--- a/mimosahaven/settings.py
+++ b/mimosahaven/settings.py
@@ -126,7 +126,11 @@
     watcher_silence_ms: PositiveMs = 3_000
     contact_max_age_ms: PositiveMs = 2_000
     reads_per_s_per_domain: Annotated[float, pydantic.Field(gt=0)] = 20
-    watch_wait_ms: PositiveMs = 10_000
+    # A watch that waits longer than contact_max_age_ms makes the contact of
+    # a healthy watcher look too old, so that every daemon reads by itself.
+    watch_wait_ms: PositiveMs = 1_000
+    read_timeout_ms: PositiveMs = 1_000
+    retry_ms: PositiveMs = 1_000
     join_wait_ms: PositiveMs = 1_000
     share_settle_ms: PositiveMs = 10_000
 
--- /dev/null
+++ b/mimosahaven/testing/platform.py
@@ -0,0 +1,314 @@
+"""Fake of the platform: documents by HTTP, with faults on request."""
+
+import asyncio
+import dataclasses
+import socket
+
+import click
+import falcon
+import falcon.asgi
+import json5
+import msgspec
+import uvicorn
+from uvicorn.protocols.http import httptools_impl
+
+TABLE = "table"
+LIST = "vms"
+DOCUMENT_BYTES_MAX = 1_048_576
+DATA_PREFIX = b"/v1/"
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults of the fake platform; `PUT /control` sets those it names.
+
+    Attributes:
+      outage: "" for none; "refuse" resets connections that read or write
+        documents; "hang" accepts them and does not answer.
+      frozen_table_version: Version of an earlier table that is served in
+        place of the newest one, or null.
+      frozen_list_version: The same for the list of VMs.
+      list_lag_ms: Time until a list that was put becomes visible.
+    """
+
+    outage: str = ""
+    frozen_table_version: int | None = None
+    frozen_list_version: int | None = None
+    list_lag_ms: float = 0.0
+
+    def __post_init__(self):
+        if self.outage not in ("", "refuse", "hang"):
+            raise ValueError('outage: "", "refuse" or "hang" is allowed')
+
+
+@dataclasses.dataclass
+class Counters:
+    """Reads of documents since the start; a watch is one call.
+
+    Attributes:
+      calls: All reads, including those that met an outage.
+      refused: Reads that met the outage "refuse".
+      waiting: Watches that wait at present.
+    """
+
+    calls: int = 0
+    refused: int = 0
+    waiting: int = 0
+
+
+@dataclasses.dataclass
+class Document:
+    """All versions of one document and the one that readers see."""
+
+    texts: dict[int, str] = dataclasses.field(default_factory=dict)
+    newest: int = 0
+
+    def visible(self, frozen: int | None) -> int:
+        """Returns the version that readers see, 0 for none."""
+        return self.newest if frozen is None else frozen
+
+
+class PlatformState:
+    """Documents, faults and counters of the fake platform."""
+
+    def __init__(self):
+        self.documents = {TABLE: Document(), LIST: Document()}
+        self.faults = Faults()
+        self.counters = Counters()
+        self.connections: set[PlatformProtocol] = set()
+        self._changed = asyncio.Event()
+
+    def put(self, name: str, version: int, text: str) -> None:
+        """Stores a document; a list becomes visible after its lag."""
+        self.documents[name].texts[version] = text
+        lag_ms = self.faults.list_lag_ms if name == LIST else 0.0
+        if lag_ms:
+            loop = asyncio.get_running_loop()
+            loop.call_later(lag_ms / 1000, self._show, name, version)
+        else:
+            self._show(name, version)
+
+    def control(self, changes: dict) -> None:
+        """Sets the named faults.
+
+        Raises:
+          ValueError: A fault is unknown or has a value that is not allowed.
+        """
+        faults = msgspec.convert(
+            msgspec.structs.asdict(self.faults) | changes, Faults
+        )
+        for name, version in (
+            (TABLE, faults.frozen_table_version),
+            (LIST, faults.frozen_list_version),
+        ):
+            known = self.documents[name].texts
+            if version is not None and version not in known:
+                raise ValueError(f"{name} has no version {version}")
+        self.faults = faults
+        if faults.outage == "refuse":
+            for connection in list(self.connections):
+                connection.reset()
+        self._notify()
+
+    async def read(self, name: str, after: int, wait_ms: float) -> str | None:
+        """Returns the document when its version is above `after`.
+
+        Args:
+          name: TABLE or LIST.
+          after: Version that the reader has.
+          wait_ms: Time to wait for a newer version.
+
+        Returns:
+          The text, or None when the time has passed without one.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait_ms / 1000
+        self.counters.waiting += 1
+        try:
+            while True:
+                left = end - loop.time()
+                if self.faults.outage != "hang":
+                    text = self._newer(name, after)
+                    if text is not None or left <= 0:
+                        return text
+                else:
+                    left = None
+                await self._wait(left)
+        finally:
+            self.counters.waiting -= 1
+
+    def _newer(self, name: str, after: int) -> str | None:
+        faults = self.faults
+        frozen = (
+            faults.frozen_table_version
+            if name == TABLE
+            else faults.frozen_list_version
+        )
+        document = self.documents[name]
+        version = document.visible(frozen)
+        return document.texts[version] if version > after else None
+
+    async def _wait(self, seconds: float | None) -> None:
+        try:
+            await asyncio.wait_for(self._changed.wait(), seconds)
+        except TimeoutError:
+            pass
+
+    def _show(self, name: str, version: int) -> None:
+        self.documents[name].newest = version
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class PlatformProtocol(httptools_impl.HttpToolsProtocol):
+    """HTTP protocol that resets connections during an outage."""
+
+    state: PlatformState
+
+    def connection_lost(self, exc):
+        """Forgets the connection."""
+        self.state.connections.discard(self)
+        super().connection_lost(exc)
+
+    def on_headers_complete(self):
+        """Resets a connection for documents during the outage "refuse"."""
+        if self.url.startswith(DATA_PREFIX):
+            self.state.connections.add(self)
+            if self.state.faults.outage == "refuse":
+                self.state.counters.calls += 1
+                self.state.counters.refused += 1
+                self.reset()
+                return
+        super().on_headers_complete()
+
+    def on_body(self, body):
+        """Ignores the body of a request that was reset."""
+        if self.cycle is not None:
+            super().on_body(body)
+
+    def on_message_complete(self):
+        """Ignores the end of a request that was reset."""
+        if self.cycle is not None:
+            super().on_message_complete()
+
+    def reset(self) -> None:
+        """Closes the connection without an answer."""
+        self.transport.abort()
+
+
+class DocumentResource:
+    """Reads, watches and writes of one document."""
+
+    def __init__(self, state: PlatformState, name: str):
+        self._state = state
+        self._name = name
+
+    async def on_get(self, req, resp):
+        """Answers 200 with a newer document, or 204."""
+        self._state.counters.calls += 1
+        after = req.get_param_as_int("after", default=0)
+        wait_ms = req.get_param_as_float("wait_ms", default=0.0)
+        text = await self._state.read(self._name, after, wait_ms)
+        if text is None:
+            resp.status = falcon.HTTP_204
+        else:
+            resp.content_type = falcon.MEDIA_TEXT
+            resp.text = text
+
+    async def on_put(self, req, resp):
+        """Stores a document.
+
+        The parameter `version` replaces the version in the text, so that a
+        text that cannot be parsed can be served too.
+        """
+        data = await req.stream.read(DOCUMENT_BYTES_MAX + 1)
+        if len(data) > DOCUMENT_BYTES_MAX:
+            raise falcon.HTTPContentTooLarge()
+        text = data.decode("utf-8", "replace")
+        version = req.get_param_as_int("version", min_value=1)
+        if version is None:
+            version = _version_of(text)
+        self._state.put(self._name, version, text)
+        resp.status = falcon.HTTP_204
+
+
+class ControlResource:
+    """Faults and counters."""
+
+    def __init__(self, state: PlatformState):
+        self._state = state
+
+    async def on_get(self, req, resp):
+        """Answers with the counters and the faults."""
+        del req
+        resp.media = dataclasses.asdict(self._state.counters) | {
+            "faults": msgspec.structs.asdict(self._state.faults)
+        }
+
+    async def on_put(self, req, resp):
+        """Sets the faults that are named; the others stay."""
+        try:
+            self._state.control(await req.get_media())
+        except (ValueError, TypeError) as error:
+            raise falcon.HTTPBadRequest(description=str(error)) from error
+        resp.status = falcon.HTTP_204
+
+
+def _version_of(text: str) -> int:
+    try:
+        version = json5.loads(text)["version"]
+    except (ValueError, TypeError, KeyError) as error:
+        raise falcon.HTTPBadRequest(
+            description="no version in the text; use ?version=N"
+        ) from error
+    if not isinstance(version, int) or version < 1:
+        raise falcon.HTTPBadRequest(description="version: 1 or more")
+    return version
+
+
+def make_app(state: PlatformState) -> falcon.asgi.App:
+    """Returns the ASGI application."""
+    app = falcon.asgi.App()
+    app.add_route("/v1/table", DocumentResource(state, TABLE))
+    app.add_route("/v1/vms", DocumentResource(state, LIST))
+    app.add_route("/control", ControlResource(state))
+    return app
+
+
+async def serve(listener: socket.socket) -> None:
+    """Serves on a bound socket until SIGTERM or SIGINT."""
+    state = PlatformState()
+    protocol = type("Protocol", (PlatformProtocol,), {"state": state})
+    config = uvicorn.Config(
+        make_app(state),
+        http=protocol,
+        loop="asyncio",
+        lifespan="off",
+        log_level="warning",
+        timeout_graceful_shutdown=1,
+    )
+    await uvicorn.Server(config).serve(sockets=[listener])
+
+
+@click.command()
+@click.option("--host", default="127.0.0.1", help="IP number to bind.")
+@click.option("--port", default=0, help="Port; 0 lets the kernel pick one.")
+def main(host: str, port: int) -> None:
+    """Runs the fake platform and prints "HOST:PORT" once it listens.
+
+    Example: python -m mimosahaven.testing.platform --port 7000
+    """
+    # asyncio turns off the Nagle algorithm only for sockets that name TCP;
+    # with it, each answer waits 40 ms for a delayed acknowledgement.
+    listener = socket.socket(proto=socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.listen(1024)
+    print("{}:{}".format(*listener.getsockname()), flush=True)
+    asyncio.run(serve(listener))
+
+
+if __name__ == "__main__":
+    main()
