--- /dev/null
+++ b/mimosahaven/testing/runs.py
@@ -0,0 +1,82 @@
+"""Record of the runs of a fake target."""
+
+import os
+import pathlib
+
+import msgspec
+
+CONTEXT_HEADER = "Mimosahaven-Context"
+
+# A run without an end: still running, or its process died.
+RUNNING = "running"
+OK = "ok"
+
+
+class Run(msgspec.Struct):
+    """One run of a call; times are of the machine's monotonic clock."""
+
+    call_id: str
+    action_id: str
+    service: str
+    target: str
+    path: str
+    id: str
+    start_ms: float
+    end_ms: float = 0.0
+    outcome: str = RUNNING
+    number: int = 0
+
+
+def action_of(call_id: str) -> str:
+    """Returns the action id that a call id derives from."""
+    return call_id.split("/", 1)[0]
+
+
+class RunLog:
+    """Runs of one target, kept in memory and appended to a file.
+
+    The file outlives a crash of the target; each run is written once at its
+    start and once at its end, and the later line holds.
+    """
+
+    def __init__(self, path: pathlib.Path | None = None):
+        self.runs: list[Run] = []
+        self.concurrent = 0
+        self.concurrent_max = 0
+        self._file = None
+        if path:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self._file = os.open(path, flags, 0o600)
+
+    def start(self, run: Run) -> None:
+        """Adds a run that begins."""
+        run.number = len(self.runs)
+        self.runs.append(run)
+        self.concurrent += 1
+        self.concurrent_max = max(self.concurrent_max, self.concurrent)
+        self._write(run)
+
+    def finish(self, run: Run, outcome: str, now_ms: float) -> None:
+        """Notes the end of a run."""
+        run.end_ms = now_ms
+        run.outcome = outcome
+        self.concurrent -= 1
+        self._write(run)
+
+    def _write(self, run: Run) -> None:
+        if self._file is not None:
+            os.write(self._file, msgspec.json.encode(run) + b"\n")
+
+
+def read_runs(path: pathlib.Path) -> list[Run]:
+    """Reads the runs of every process that wrote to the file, in order."""
+    runs: list[Run] = []
+    current: dict[int, int] = {}
+    for line in path.read_bytes().splitlines():
+        run = msgspec.json.decode(line, type=Run)
+        if run.outcome == RUNNING:
+            current[run.number] = len(runs)
+            runs.append(run)
+        else:
+            runs[current[run.number]] = run
+    return runs
--- /dev/null
+++ b/mimosahaven/testing/target.py
@@ -0,0 +1,218 @@
+"""Fake target: a back-end process with slots, nested calls and faults."""
+
+import asyncio
+import json
+import math
+import pathlib
+
+import click
+import falcon
+import falcon.asgi
+import msgspec
+import uvicorn
+
+from mimosahaven import clock
+from mimosahaven.testing import runs as runs_lib
+from mimosahaven.testing import targetcore
+
+DEADLINE_HEADER = "Mimosahaven-Deadline-Ms"
+DRAIN_LIMIT_S = 60
+BODY_PIECES = 10
+
+
+class CallResource:
+    """Takes every path that is not under `/-/`."""
+
+    def __init__(self, target: targetcore.Target):
+        self._target = target
+
+    async def __call__(self, req, resp) -> None:
+        """Answers one request."""
+        body = await req.stream.read()
+        control = self._target.control
+        request = _parse_request(req, body)
+        crash = control.crash_substring
+        request.crash = bool(crash) and (
+            crash.encode() in body or crash in req.relative_uri
+        )
+        status, answer = await self._target.handle(request)
+        resp.status = status
+        resp.content_type = falcon.MEDIA_JSON
+        data = json.dumps(
+            {
+                "id": request.id,
+                "service": self._target.service,
+                "target": self._target.name,
+                "path": request.path,
+                "call": request.call_id,
+                **answer,
+                "end": True,
+            }
+        ).encode()
+        if status == 200 and (control.truncate or control.slow_body_ms):
+            resp.content_length = len(data)
+            resp.stream = _pieces(data, control)
+        else:
+            resp.data = data
+
+
+class ControlResources:
+    """The endpoints under `/-/`."""
+
+    def __init__(self, target: targetcore.Target):
+        self._target = target
+        self._report: dict = {}
+        self._reported_ms = -math.inf
+
+    async def on_get_runs(self, req, resp) -> None:
+        """Answers with the record of the runs, exact at this moment."""
+        log = self._target.log
+        first = req.get_param_as_int("after", default=0)
+        resp.content_type = falcon.MEDIA_JSON
+        resp.data = msgspec.json.encode(
+            {
+                "target": self._target.name,
+                "service": self._target.service,
+                "concurrent": log.concurrent,
+                "concurrent_max": log.concurrent_max,
+                "total": len(log.runs),
+                "shed": self._target.shed,
+                "runs": log.runs[first:],
+            }
+        )
+
+    async def on_get_health(self, req, resp) -> None:
+        """Answers with the state, which may be old or untrue."""
+        health = self._target.control.health
+        up = health == "up" or (
+            health == "honest" and not self._lagging()["draining"]
+        )
+        resp.status = 200 if up else 503
+        resp.media = {"state": "up" if up else "down"}
+
+    async def on_get_load(self, req, resp) -> None:
+        """Answers with the load, which may be old or untrue."""
+        report = dict(self._lagging())
+        if self._target.control.health == "up":
+            report |= {"concurrent": 0, "queued": 0}
+        resp.media = report
+
+    async def on_put_control(self, req, resp) -> None:
+        """Replaces the faults."""
+        try:
+            self._target.control = msgspec.json.decode(
+                await req.stream.read(), type=targetcore.Control
+            )
+        except msgspec.MsgspecError as error:
+            raise falcon.HTTPBadRequest(description=str(error)) from error
+        resp.status = 204
+
+    async def on_delete_call(self, req, resp, call_id: str) -> None:
+        """Cancels a call."""
+        resp.status = 204 if self._target.cancel(call_id) else 404
+
+    def _lagging(self) -> dict:
+        now_ms = clock.monotonic_ms()
+        lag_ms = self._target.control.report_lag_ms
+        if now_ms - self._reported_ms >= lag_ms:
+            self._reported_ms = now_ms
+            self._report = {
+                "concurrent": self._target.log.concurrent,
+                "queued": self._target.slots.queued,
+                "draining": self._target.draining,
+            }
+        return self._report
+
+
+def _parse_request(req, body: bytes) -> targetcore.Request:
+    request_id = req.get_param("id")
+    if request_id is None:
+        request_id = str(targetcore.parse_answer(body).get("id", ""))
+    deadline_ms = math.inf
+    header = req.get_header(DEADLINE_HEADER)
+    if header is not None:
+        deadline_ms = clock.monotonic_ms() + float(header)
+    return targetcore.Request(
+        req.method,
+        req.path,
+        request_id,
+        req.get_header(runs_lib.CONTEXT_HEADER) or "",
+        deadline_ms,
+        req.get_param_as_int("size", default=0),
+    )
+
+
+async def _pieces(data: bytes, control: targetcore.Control):
+    end = len(data) // 2 if control.truncate else len(data)
+    step = max(1, -(-end // BODY_PIECES))
+    for start in range(0, end, step):
+        await asyncio.sleep(control.slow_body_ms / BODY_PIECES / 1000)
+        yield data[start : min(end, start + step)]
+
+
+def make_app(target: targetcore.Target) -> falcon.asgi.App:
+    """Returns the HTTP application of a target."""
+    app = falcon.asgi.App()
+    controls = ControlResources(target)
+    app.add_route("/-/runs", controls, suffix="runs")
+    app.add_route("/-/health", controls, suffix="health")
+    app.add_route("/-/load", controls, suffix="load")
+    app.add_route("/-/control", controls, suffix="control")
+    app.add_route("/-/calls/{call_id:path}", controls, suffix="call")
+    app.add_sink(CallResource(target), prefix="/")
+    return app
+
+
+class _Server(uvicorn.Server):
+    """Server whose SIGTERM drains the target."""
+
+    def __init__(self, config: uvicorn.Config, target: targetcore.Target):
+        super().__init__(config)
+        self._target = target
+
+    def handle_exit(self, sig, frame) -> None:
+        """Notes the drain; uvicorn then finishes what is in flight."""
+        self._target.draining = True
+        super().handle_exit(sig, frame)
+
+
+@click.command()
+@click.option("--name", required=True)
+@click.option("--service", required=True)
+@click.option("--host", default="127.0.0.1")
+@click.option("--port", type=int, required=True)
+@click.option(
+    "--daemon", default="", help="Entry of its daemon, http://IP:PORT"
+)
+@click.option("--slots", type=int, default=100)
+@click.option("--queue", type=int, help="Length of the queue (default: slots)")
+@click.option("--service-ms", type=float, default=5.0)
+@click.option("--cold-start-ms", type=float, default=0.0)
+@click.option("--seed", type=int, default=0)
+@click.option(
+    "--calls",
+    default="",
+    callback=lambda _c, _p, value: tuple(v for v in value.split(",") if v),
+    help="Nested calls of every path: service/path,...",
+)
+@click.option("--runs-file", type=click.Path(path_type=pathlib.Path))
+def main(**options) -> None:
+    """Runs a fake target until SIGTERM, which drains it."""
+    target = targetcore.Target(options)
+    config = uvicorn.Config(
+        make_app(target),
+        host=options["host"],
+        port=options["port"],
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_level="critical",
+        access_log=False,
+        timeout_graceful_shutdown=DRAIN_LIMIT_S,
+    )
+    _Server(config, target).run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mimosahaven/testing/targetcore.py
@@ -0,0 +1,261 @@
+"""State and behaviour of the fake target."""
+
+import asyncio
+import collections
+import contextlib
+import json
+import math
+import os
+import random
+
+import aiohttp
+import msgspec
+
+from mimosahaven import clock
+from mimosahaven.testing import callgraph
+from mimosahaven.testing import runs as runs_lib
+
+SERVICE_TIME_SIGMA = 0.3
+# A cold target starts at this multiple of its service time.
+COLD_FACTOR = 4.0
+CRASH_EXIT_CODE = 70
+
+
+class Control(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults of the target, set by `PUT /-/control`.
+
+    Attributes:
+      service_factor: Multiplies the service time.
+      health: `honest`, or what the health endpoint pretends: `up`, `down`.
+      report_lag_ms: Age up to which health and load reports are reused.
+      crash_substring: A request whose body or URL has it ends the process
+        as soon as it runs.
+      hang: Runs do not end; they hold their slots.
+      truncate: Answers break off before their end.
+      slow_body_ms: Time over which the body of an answer is spread.
+      drop_context: Nested calls do not carry the context header.
+    """
+
+    service_factor: float = 1.0
+    health: str = "honest"
+    report_lag_ms: float = 1_000.0
+    crash_substring: str = ""
+    hang: bool = False
+    truncate: bool = False
+    slow_body_ms: float = 0.0
+    drop_context: bool = False
+
+
+class Slots:
+    """A number of slots with a bounded queue, first come first served."""
+
+    def __init__(self, count: int, queue_max: int):
+        self._free = count
+        self._queue_max = queue_max
+        self._waiting: collections.deque[asyncio.Future] = collections.deque()
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._waiting)
+
+    async def take(self, wait_s: float | None) -> bool:
+        """Takes a slot; returns whether it did within wait_s seconds."""
+        if self._free:
+            self._free -= 1
+            return True
+        if len(self._waiting) >= self._queue_max:
+            return False
+        future = asyncio.get_running_loop().create_future()
+        self._waiting.append(future)
+        try:
+            await asyncio.wait_for(future, wait_s)
+        except (TimeoutError, asyncio.CancelledError) as error:
+            if future.done() and not future.cancelled():
+                self.release()
+            else:
+                with contextlib.suppress(ValueError):
+                    self._waiting.remove(future)
+            if isinstance(error, TimeoutError):
+                return False
+            raise
+        return True
+
+    def release(self) -> None:
+        """Gives a slot back, or on to the first request that waits."""
+        while self._waiting:
+            future = self._waiting.popleft()
+            if not future.done():
+                future.set_result(None)
+                return
+        self._free += 1
+
+
+class NestedError(Exception):
+    """A nested call that did not succeed."""
+
+    def __init__(self, service: str, reason: str, **detail):
+        super().__init__(f"{service}: {reason}")
+        self.detail = {"failed": service, "reason": reason, **detail}
+
+
+class Request(msgspec.Struct):
+    """What a run needs of its request."""
+
+    method: str
+    path: str
+    id: str
+    call_id: str
+    deadline_ms: float
+    size: int
+    crash: bool = False
+
+
+class Target:
+    """State and behaviour of the fake target."""
+
+    def __init__(self, options: dict):
+        self.name = options["name"]
+        self.service = options["service"]
+        self.control = Control()
+        self.draining = False
+        self.log = runs_lib.RunLog(options["runs_file"])
+        self.shed = 0
+        slots = options["slots"]
+        queue = options["queue"]
+        self.slots = Slots(slots, slots if queue is None else queue)
+        self._options = options
+        self._rng = random.Random(options["seed"])
+        self._started_ms = clock.monotonic_ms()
+        self._tasks: dict[str, set[asyncio.Task]] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    def service_time_s(self) -> float:
+        """Returns the service time of the next run."""
+        median_ms = self._options["service_ms"] * self.control.service_factor
+        time_ms = median_ms * math.exp(self._rng.gauss(0.0, SERVICE_TIME_SIGMA))
+        cold_ms = self._options["cold_start_ms"]
+        age_ms = clock.monotonic_ms() - self._started_ms
+        if age_ms < cold_ms:
+            time_ms *= 1 + (COLD_FACTOR - 1) * (1 - age_ms / cold_ms)
+        return time_ms / 1000
+
+    def cancel(self, call_id: str) -> bool:
+        """Cancels the runs of a call; returns whether there were any."""
+        tasks = self._tasks.get(call_id, set())
+        for task in tasks:
+            task.cancel()
+        return bool(tasks)
+
+    async def handle(self, request: Request) -> tuple[int, dict]:
+        """Runs a request, or sheds it.
+
+        Returns:
+          HTTP status and answer. 503 always means that it did not run.
+        """
+        task = asyncio.ensure_future(self._queue_and_run(request))
+        tasks = self._tasks.setdefault(request.call_id, set())
+        tasks.add(task)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            return 503, {"shed": "cancelled"}
+        finally:
+            tasks.discard(task)
+            if not tasks:
+                self._tasks.pop(request.call_id, None)
+
+    async def _queue_and_run(self, request: Request) -> tuple[int, dict]:
+        wait_s = _remaining_s(request)
+        if (wait_s or 1) <= 0 or not await self.slots.take(wait_s):
+            self.shed += 1
+            return 503, {"shed": "no slot"}
+        run = runs_lib.Run(
+            request.call_id,
+            runs_lib.action_of(request.call_id),
+            self.service,
+            self.name,
+            request.path,
+            request.id,
+            clock.monotonic_ms(),
+        )
+        self.log.start(run)
+        if request.crash:
+            os._exit(CRASH_EXIT_CODE)
+        outcome, answer = "cancelled", (500, {"failed": "cancelled"})
+        try:
+            async with asyncio.timeout(_remaining_s(request)):
+                answer = await self._work(request)
+            outcome = runs_lib.OK
+        except asyncio.CancelledError:
+            pass
+        except TimeoutError:
+            outcome, answer = "deadline", (504, {"failed": "deadline"})
+        except NestedError as error:
+            outcome = f"nested: {error}"
+            answer = 502, error.detail
+        finally:
+            self.log.finish(run, outcome, clock.monotonic_ms())
+            self.slots.release()
+        return answer
+
+    async def _work(self, request: Request) -> tuple[int, dict]:
+        if self.control.hang:
+            await asyncio.get_running_loop().create_future()
+        await asyncio.sleep(self.service_time_s())
+        nested = self._options["calls"] or callgraph.nested_calls(
+            self.service, request.path
+        )
+        answers = [await self._call(name, request) for name in nested]
+        return 200, {"nested": answers, "padding": "x" * request.size}
+
+    async def _call(self, name: str, request: Request) -> dict:
+        service, _, path = name.partition("/")
+        headers = {"Content-Type": "application/json"}
+        if request.call_id and not self.control.drop_context:
+            headers[runs_lib.CONTEXT_HEADER] = request.call_id
+        try:
+            async with self._get_session().request(
+                request.method,
+                f"{self._options['daemon']}/{service}/{path}",
+                params={"id": request.id},
+                headers=headers,
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, OSError) as error:
+            raise NestedError(service, type(error).__name__) from error
+        if response.status != 200:
+            raise NestedError(
+                service,
+                "status",
+                status=response.status,
+                code=response.headers.get("Mimosahaven-Code", ""),
+                run=response.headers.get("Mimosahaven-Run", ""),
+            )
+        answer = parse_answer(body)
+        if answer.get("id") != request.id or answer.get("service") != service:
+            raise NestedError(service, "foreign or truncated answer")
+        return {key: answer[key] for key in ("service", "target", "id")}
+
+    def _get_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0),
+                timeout=aiohttp.ClientTimeout(total=None),
+            )
+        return self._session
+
+
+def _remaining_s(request: Request) -> float | None:
+    if request.deadline_ms == math.inf:
+        return None
+    return (request.deadline_ms - clock.monotonic_ms()) / 1000
+
+
+def parse_answer(body: bytes) -> dict:
+    """Returns the JSON object in a body, or an empty one."""
+    try:
+        answer = json.loads(body)
+    except ValueError:
+        return {}
+    return answer if isinstance(answer, dict) else {}
