--- /dev/null
+++ b/mimosahaven/testing/deployments.py
@@ -0,0 +1,216 @@
+"""The two deployments of section 2 of the design, as data."""
+
+import dataclasses
+import json
+import math
+
+# Mechanisms that the naive version lacks, and its algorithms.
+NAIVE_SETTINGS = {
+    "mechanisms": dict.fromkeys(
+        (
+            "admission",
+            "shed_at_entry",
+            "reserve",
+            "chain_budget",
+            "inquire",
+            "ledger",
+            "clock_skew",
+            "pause_detector",
+            "quarantine",
+            "ejection",
+            "row_limits",
+        ),
+        False,
+    ),
+    "routing": {"algorithm": "round_robin"},
+    "admission": {"algorithm": "fixed"},
+}
+VARIANTS: dict[str, dict] = {"full": {}, "naive": NAIVE_SETTINGS}
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A service and its targets.
+
+    Attributes:
+      targets: Number of targets, spread over the failure domains.
+      slots: Slots of each target.
+      connections: Connections that each target takes.
+      service_ms: Median service time without nested calls.
+    """
+
+    name: str
+    targets: int
+    slots: int
+    connections: int
+    service_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of request, its row of the table and its share of the load.
+
+    Attributes:
+      service: First service of the chain.
+      path: Path at that service; it fixes the nested calls.
+      share: Share of the offered load.
+    """
+
+    caller: str
+    name: str
+    method: str
+    service: str
+    path: str
+    weight: int
+    idempotent: bool
+    share: float
+    deadline_ms: float = 3_000
+    retry_budget: int = 3
+
+    @property
+    def url_path(self) -> str:
+        """Path at the entry of a daemon."""
+        return f"/{self.service}{self.path}"
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """Services, failure domains and kinds of requests of one operator.
+
+    Attributes:
+      deepest: The service at the end of every chain.
+      address_prefix: First three bytes of its loopback addresses; each
+        failure domain has an address of its own.
+    """
+
+    name: str
+    region: str
+    failure_domains: tuple[str, ...]
+    services: tuple[Service, ...]
+    kinds: tuple[Kind, ...]
+    deepest: str
+    address_prefix: str
+    important_weight: int = 50
+
+    def scaled(self, slots: float, targets: float = 1.0) -> "Deployment":
+        """Returns the deployment with fewer slots and targets.
+
+        Args:
+          slots: Factor for the slots and connections of each target.
+          targets: Factor for the number of targets of each service.
+        """
+        return dataclasses.replace(
+            self,
+            services=tuple(
+                dataclasses.replace(
+                    service,
+                    targets=max(1, round(service.targets * targets)),
+                    slots=max(1, math.ceil(service.slots * slots)),
+                    connections=max(8, round(service.connections * slots)),
+                )
+                for service in self.services
+            ),
+        )
+
+    def service(self, name: str) -> Service:
+        """Returns a service by its name."""
+        return next(s for s in self.services if s.name == name)
+
+    def capacity_per_s(self) -> float:
+        """Calls a second that the slots of the deepest service can take."""
+        deepest = self.service(self.deepest)
+        return deepest.targets * deepest.slots * 1000 / deepest.service_ms
+
+    def table(self, version: int = 1) -> dict:
+        """Returns the operators' table."""
+        rows = [
+            {
+                "caller": kind.caller,
+                "kind": kind.name,
+                "weight": kind.weight,
+                "idempotent": kind.idempotent,
+                "deadline_ms": kind.deadline_ms,
+                "retry_budget": kind.retry_budget,
+            }
+            for kind in self.kinds
+        ]
+        # Nested calls without a context count as calls of their service.
+        rows.append(
+            {
+                "caller": "*",
+                "kind": "*",
+                "weight": 5,
+                "idempotent": False,
+                "deadline_ms": 3_000,
+                "retry_budget": 0,
+            }
+        )
+        # The fake target answers 503 only for what it did not run.
+        services = {s.name: {"not_run_statuses": [503]} for s in self.services}
+        return {
+            "version": version,
+            "important_weight": self.important_weight,
+            "rows": rows,
+            "services": services,
+        }
+
+    def table_text(self, version: int = 1) -> str:
+        """Returns the table as the platform serves it."""
+        return json.dumps(self.table(version))
+
+
+SKOVGAARD = Deployment(
+    name="skovgaard",
+    region="dk-east",
+    failure_domains=("dk-east-1", "dk-east-2", "dk-east-3"),
+    services=(
+        Service("katalog", 4, 80, 570, 5),
+        Service("ordre", 3, 100, 720, 5),
+        Service("proof", 3, 100, 720, 10),
+        Service("presse", 3, 25, 250, 40),
+    ),
+    kinds=(
+        Kind("family", "browse", "GET", "katalog", "/browse", 10, True, 0.70),
+        Kind("shop", "order", "POST", "ordre", "/order", 90, False, 0.20),
+        Kind(
+            "undertaker", "cancel", "POST", "ordre", "/cancel", 85, False, 0.10
+        ),
+    ),
+    deepest="presse",
+    address_prefix="127.0.1",
+)
+
+UMURAGE = Deployment(
+    name="umurage",
+    region="kigali",
+    failure_domains=("kigali-1", "kigali-2", "kigali-3"),
+    services=(
+        Service("catalogue", 5, 70, 510, 5),
+        Service("payments", 4, 90, 620, 10),
+        Service("fittings", 3, 110, 780, 5),
+        Service("reservations", 3, 35, 310, 40),
+    ),
+    kinds=(
+        Kind(
+            "tourist", "browse", "GET", "catalogue", "/browse", 10, True, 0.60
+        ),
+        Kind(
+            "stylist", "upload", "POST", "fittings", "/upload", 30, True, 0.10
+        ),
+        Kind(
+            "bride", "reserve", "POST", "fittings", "/reserve", 80, False, 0.15
+        ),
+        Kind(
+            "stylist",
+            "deposit",
+            "POST",
+            "payments",
+            "/deposit",
+            90,
+            False,
+            0.15,
+        ),
+    ),
+    deepest="reservations",
+    address_prefix="127.0.2",
+)
--- /dev/null
+++ b/tests/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of mimosahaven.testing."""
--- /dev/null
+++ b/tests/testing/test_target.py
@@ -0,0 +1,115 @@
+"""Tests of mimosahaven.testing.target."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import aiohttp
+import testtools
+from testtools import matchers
+
+from mimosahaven.testing import deployments
+from mimosahaven.testing import processes
+from mimosahaven.testing import runner as runner_lib
+
+LEAF = deployments.Service("presse", 1, 2, 8, 20.0)
+DEPLOYMENT = dataclasses.replace(deployments.SKOVGAARD, services=(LEAF,))
+HEADERS = {"Mimosahaven-Context": "presse-1.0123456789abcdef.5.1/1.2"}
+
+
+class TargetTest(testtools.TestCase):
+    def run_with_target(self, check):
+        async def run():
+            async with runner_lib.Runner(
+                DEPLOYMENT, parts=frozenset({runner_lib.TARGETS})
+            ) as runner:
+                self.url = runner.node("presse-1").target_url
+                return await check(runner)
+
+        return asyncio.run(run())
+
+    async def get(self, runner, request_id, headers=HEADERS):
+        async with runner.session.get(
+            f"{self.url}/print", params={"id": request_id}, headers=headers
+        ) as response:
+            return response.status, await response.json()
+
+    async def wait_for_runs(self, runner, count):
+        async def seen():
+            report = await processes.get_json(
+                runner.session, f"{self.url}/-/runs"
+            )
+            return report["concurrent"] == count
+
+        await processes.wait_for(seen)
+
+    def test_only_shed_requests_have_no_run(self):
+        # 503 must mean "not run": the table of both deployments says so.
+        async def check(runner):
+            answers = await asyncio.gather(
+                *(self.get(runner, str(n)) for n in range(6))
+            )
+            return answers, runner.runs()
+
+        answers, runs = self.run_with_target(check)
+        ran = sorted(a["id"] for status, a in answers if status == 200)
+        self.assertThat(ran, matchers.HasLength(4))
+        self.assertThat(sorted(r.id for r in runs), matchers.Equals(ran))
+        self.assertThat(
+            {r.action_id for r in runs},
+            matchers.Equals({"presse-1.0123456789abcdef.5.1"}),
+        )
+
+    def test_deadline_and_cancellation_end_a_run(self):
+        # Work for a caller that has left would hold the slot for nothing.
+        async def check(runner):
+            await runner.control("presse-1", hang=True)
+            late = await self.get(
+                runner, "late", {"Mimosahaven-Deadline-Ms": "50"}
+            )
+            task = asyncio.ensure_future(self.get(runner, "cancelled"))
+            await self.wait_for_runs(runner, 1)
+            call = HEADERS["Mimosahaven-Context"]
+            async with runner.session.delete(
+                f"{self.url}/-/calls/{call}"
+            ) as response:
+                self.assertThat(response.status, matchers.Equals(204))
+            await task
+            return late, runner.runs()
+
+        late, runs = self.run_with_target(check)
+        self.assertThat(late[0], matchers.Equals(504))
+        self.assertThat(
+            [r.outcome for r in runs],
+            matchers.Equals(["deadline", "cancelled"]),
+        )
+
+    def test_truncated_answer_is_not_whole_for_the_client(self):
+        async def check(runner):
+            await runner.control("presse-1", truncate=True)
+            return await self.get(runner, "1")
+
+        self.assertRaises(
+            aiohttp.ClientPayloadError, self.run_with_target, check
+        )
+
+    def test_crash_keeps_the_run_and_drain_ends_it(self):
+        # A run lost with its process would hide a second run of the action.
+        async def check(runner):
+            await runner.control("presse-1", crash_substring="bang")
+            with contextlib.suppress(aiohttp.ClientError):
+                await self.get(runner, "bang")
+            await runner.process("presse-1").wait_exit()
+            await runner.restart("presse-1")
+            await runner.control("presse-1", service_factor=10)
+            task = asyncio.ensure_future(self.get(runner, "drained"))
+            await self.wait_for_runs(runner, 1)
+            runner.terminate("presse-1")
+            return await task, runner.runs()
+
+        (status, _), runs = self.run_with_target(check)
+        self.assertThat(status, matchers.Equals(200))
+        self.assertThat(
+            [(r.id, r.outcome) for r in runs],
+            matchers.Equals([("bang", "running"), ("drained", "ok")]),
+        )
