Serve all kinds of calls through separate processes

Cause: the daemon had no table and no list of VMs. Excluded: membership by gossip, which replaces the plain watch.

--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -5,6 +5,7 @@
 import random
 import signal
 
+import msgspec
 import uvicorn
 from loguru import logger
 
@@ -18,6 +19,7 @@
 from mimosahaven import identity
 from mimosahaven import links as links_lib
 from mimosahaven import messages
+from mimosahaven import platformclient
 from mimosahaven import router as router_lib
 from mimosahaven import routing
 from mimosahaven import settings as settings_lib
@@ -37,6 +39,18 @@
         yield
 
 
+class StatusResource:
+    """Tells the state of the daemon."""
+
+    def __init__(self, daemon: "Daemon"):
+        self._daemon = daemon
+
+    async def on_get(self, req, resp) -> None:
+        """Answers with the state as JSON."""
+        del req
+        resp.media = {"state": self._daemon.state}
+
+
 class Daemon(links_lib.Handler):
     """One daemon: entry, router and guard of one target."""
 
@@ -60,6 +74,15 @@
             settings, self.incarnation, self.registry, self.router
         )
         self._tasks: set[asyncio.Task] = set()
+        self.platform = None
+        if settings.platform:
+            self.platform = platformclient.PlatformClient(
+                settings,
+                self.rng,
+                self._on_document,
+                self._version_of,
+                lambda now_ms: None,
+            )
         self._server: _Server | None = None
         self._server_task: asyncio.Task | None = None
 
@@ -76,7 +99,14 @@
         """Opens all sockets and starts the timers."""
         await self.client.start()
         self.hub.start()
-        app = entry.make_app(self.dispatcher, self.settings.max_body_bytes)
+        if self.platform:
+            await self.platform.start()
+            self.platform.start_watching()
+        app = entry.make_app(
+            self.dispatcher,
+            self.settings.max_body_bytes,
+            [("/-/status", StatusResource(self))],
+        )
         endpoint = self.settings.entry
         self._server = _Server(
             uvicorn.Config(
@@ -96,6 +126,27 @@
         self._server_task = self.spawn(self._server.serve())
         self.spawn(self._tick_forever())
 
+    @property
+    def state(self) -> str:
+        """State of this daemon: starting, ready or leaving."""
+        if self.guard.leaving:
+            return "leaving"
+        if self.guard.table is None or not self.fleet.members:
+            return "starting"
+        return "ready"
+
+    def _version_of(self, name: platformclient.DocumentName) -> int:
+        if name is platformclient.DocumentName.LIST:
+            return self.fleet.version
+        return self.guard.table.version if self.guard.table else 0
+
+    def _on_document(self, name, text: str, now_ms: float) -> None:
+        if name is platformclient.DocumentName.LIST:
+            listing = msgspec.json.decode(text, type=fleet_lib.MemberList)
+            self.fleet.apply_list(listing, now_ms)
+        else:
+            self.use_table(table_lib.parse_table(text))
+
     def spawn(self, coroutine) -> asyncio.Task:
         """Runs a coroutine as a task that is kept until it ends."""
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -141,6 +192,8 @@
         """Closes everything."""
         self._server.should_exit = True
         await self._server_task
+        if self.platform:
+            await self.platform.stop()
         self.hub.stop()
         await self.client.stop()
 
