--- a/mimosahaven/settings.py
+++ b/mimosahaven/settings.py
@@ -83,7 +83,7 @@
     """Ledger of calls that ran or were barred."""
 
     action_window_ms: PositiveMs = 120_000
-    records_max: Count = 200_000
+    records_max: Count = 100_000
     answer_bytes_max: Count = 16_777_216
     key_view_max_age_ms: PositiveMs = 10_000
 
