Let the guard run non-idempotent calls at most once

Cause: a copy of a call ran again and inquiries had no answer. The guard now asks its ledger before admission, answers inquiries, drops cancelled calls that wait, and results carry the shed thresholds of the services below. Excluded: a record for idempotent calls; they may run twice and would cost memory at every guard.

--- a/mimosahaven/calls.py
+++ b/mimosahaven/calls.py
@@ -42,6 +42,19 @@
         self._children += 1
         return f"{self.call_id}.{self._children}"
 
+    def learn_threshold(
+        self, service: str, threshold: int, now_ms: float
+    ) -> None:
+        """Notes the shed threshold that a service below has reported."""
+        self.thresholds[service] = (threshold, now_ms)
+
+    def threshold_ages(self, now_ms: float) -> dict[str, tuple[int, float]]:
+        """Returns the threshold of each service below and its age in ms."""
+        return {
+            service: (threshold, now_ms - learnt_ms)
+            for service, (threshold, learnt_ms) in self.thresholds.items()
+        }
+
     def is_idempotent(self, method: str) -> bool:
         """Returns whether a call with this method may run twice."""
         return self.row.idempotent or method in SAFE_METHODS
--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -201,6 +201,10 @@
         """Takes in a message from a peer that connected to this daemon."""
         if isinstance(message, messages.Call):
             self.spawn(self._run_call(route, message, waited_ms, now_ms))
+        elif isinstance(message, messages.Inquire):
+            self.hub.reply(route, self.guard.inquire(message, now_ms))
+        elif isinstance(message, messages.Cancel):
+            self.guard.cancel(message.call_id, now_ms)
 
     def on_answer(self, link, message, now_ms) -> None:
         """Takes in a message from a peer that this daemon connected to."""
--- a/mimosahaven/dispatch.py
+++ b/mimosahaven/dispatch.py
@@ -139,7 +139,9 @@
             kind=call.kind,
             priority=identity.priority(row.weight, action_id),
             deadline_ms=now_ms + deadline_ms,
-            budget=budget_lib.ChainBudget(row.retry_budget),
+            budget=budget_lib.budget_for_call(
+                self._settings.mechanisms, row.retry_budget, row.retry_budget
+            ),
         )
         routed = await self._router.call(
             router_lib.Request(
--- a/mimosahaven/guard.py
+++ b/mimosahaven/guard.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
+import msgspec
+
 from mimosahaven import admission as admission_lib
 from mimosahaven import budget as budget_lib
 from mimosahaven import calls
 from mimosahaven import clock
 from mimosahaven import codes
 from mimosahaven import identity
+from mimosahaven import ledger as ledger_lib
 from mimosahaven import messages
 from mimosahaven import settings as settings_lib
 from mimosahaven import table as table_lib
@@ -32,6 +35,9 @@
         self._client = client
         self._admission = admission_lib.Admission(settings)
         self._waiting: dict[admission_lib.Ticket, asyncio.Future] = {}
+        self._tickets: dict[str, admission_lib.Ticket] = {}
+        self._outcomes: dict[str, asyncio.Future] = {}
+        self.ledger = ledger_lib.Ledger(settings)
         self.table: table_lib.Table | None = None
         self.leaving = False
         self.in_flight_count = 0
@@ -48,26 +54,32 @@
         """
         self.in_flight_count += 1
         try:
-            return await self._run(call, waited_ms, received_ms)
+            context, code = self._check(call, waited_ms, received_ms)
+            if context is None:
+                return self._refuse(call, code)
+            return await self._run_once(call, context)
         finally:
             self.in_flight_count -= 1
 
-    async def _run(
-        self, call: messages.Call, waited_ms: float, received_ms: float
-    ) -> messages.Result:
-        context, code = self._check(call, waited_ms, received_ms)
-        if context is None:
-            return self._result(call, code, call.budget)
-        ticket = admission_lib.Ticket(
-            call.call_id,
-            context.priority,
-            context.row.weight >= self.table.important_weight,
-            context.deadline_ms,
+    def inquire(
+        self, question: messages.Inquire, now_ms: float
+    ) -> messages.InquiryReply:
+        """Tells what became of a call; an unseen one gets barred."""
+        if question.incarnation != self._incarnation:
+            return messages.InquiryReply(
+                question.call_id, question.attempt, "other-incarnation"
+            )
+        inquiry = self.ledger.inquire(question.call_id, now_ms)
+        return messages.InquiryReply(
+            question.call_id, question.attempt, inquiry.state, inquiry.result
         )
-        code = await self._admit(ticket)
-        if code is not None:
-            return self._result(call, code, call.budget)
-        return await self._dispatch(call, context, ticket)
+
+    def cancel(self, call_id: str, now_ms: float) -> None:
+        """Drops a waiting call that nobody waits for any more."""
+        ticket = self._tickets.get(call_id)
+        if ticket is not None and ticket in self._waiting:
+            self._apply(self._admission.withdraw(ticket, now_ms))
+            self._settle(ticket, Code.DEADLINE_BEFORE_RUN)
 
     def tick(self, now_ms: float) -> None:
         """Takes the decisions that time makes due."""
@@ -76,14 +88,19 @@
     def _check(
         self, call: messages.Call, waited_ms: float, received_ms: float
     ) -> tuple[calls.CallContext | None, Code]:
-        if call.incarnation != self._incarnation:
+        mechanisms = self._settings.mechanisms
+        if (
+            call.incarnation != self._incarnation
+            and mechanisms.incarnation_check
+        ):
             return None, Code.WRONG_INCARNATION
-        if self.leaving:
+        if self.leaving and mechanisms.drain:
             return None, Code.LEAVING
         if self.table is None:
             return None, Code.STARTING
-        deadline_ms = received_ms + call.remaining_ms - waited_ms
-        if deadline_ms <= received_ms:
+        if not mechanisms.clock_skew:
+            waited_ms = 0.0
+        if call.remaining_ms <= waited_ms:
             return None, Code.DEADLINE_BEFORE_RUN
         row = self.table.row_for(call.caller, call.kind)
         if row is None:
@@ -95,11 +112,59 @@
             caller=call.caller,
             kind=call.kind,
             priority=identity.priority(row.weight, call.action_id),
-            deadline_ms=deadline_ms,
-            budget=budget_lib.ChainBudget(call.budget),
+            deadline_ms=received_ms + call.remaining_ms - waited_ms,
+            budget=budget_lib.budget_for_call(
+                mechanisms, call.budget, row.retry_budget
+            ),
         )
         return context, Code.OK
 
+    async def _run_once(
+        self, call: messages.Call, context: calls.CallContext
+    ) -> messages.Result:
+        idempotent = context.is_idempotent(call.method)
+        verdict = self.ledger.begin(
+            call.call_id, call.attempt, idempotent, clock.monotonic_ms()
+        )
+        if verdict.begin is ledger_lib.Begin.REFUSE:
+            return self._refuse(call, verdict.code)
+        if verdict.begin is ledger_lib.Begin.ANSWER:
+            return verdict.result
+        if verdict.begin is ledger_lib.Begin.WAIT:
+            outcome = await asyncio.shield(self._outcomes[call.call_id])
+            return msgspec.structs.replace(outcome, attempt=call.attempt)
+        if idempotent:
+            return await self._admit_and_dispatch(call, context)
+        future = asyncio.get_running_loop().create_future()
+        self._outcomes[call.call_id] = future
+        # The outcome when the task ends with an error.
+        result = self._result(call, Code.INTERNAL, 0)
+        try:
+            result = await self._admit_and_dispatch(call, context)
+        finally:
+            del self._outcomes[call.call_id]
+            self.ledger.finish(call.call_id, result, clock.monotonic_ms())
+            future.set_result(result)
+        return result
+
+    async def _admit_and_dispatch(
+        self, call: messages.Call, context: calls.CallContext
+    ) -> messages.Result:
+        ticket = admission_lib.Ticket(
+            call.call_id,
+            context.priority,
+            context.row.weight >= self.table.important_weight,
+            context.deadline_ms,
+        )
+        self._tickets[call.call_id] = ticket
+        try:
+            code = await self._admit(ticket)
+            if code is not None:
+                return self._refuse(call, code)
+            return await self._dispatch(call, context, ticket)
+        finally:
+            self._tickets.pop(call.call_id, None)
+
     async def _admit(self, ticket: admission_lib.Ticket) -> Code | None:
         future = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = future
@@ -141,17 +206,20 @@
         result.status = answer.status
         result.headers = answer.headers
         result.body = answer.body
+        result.thresholds = context.threshold_ages(now_ms)
         return result
 
+    def _refuse(self, call: messages.Call, code: Code) -> messages.Result:
+        return self._result(call, code, call.budget)
+
     def _result(
         self, call: messages.Call, code: Code, unused_budget: int
     ) -> messages.Result:
-        now_ms = clock.monotonic_ms()
         return messages.Result(
             call.call_id,
             call.attempt,
             int(code),
             unused_budget=unused_budget,
             load=self._admission.load(),
-            threshold=self._admission.threshold(now_ms),
+            threshold=self._admission.threshold(clock.monotonic_ms()),
         )
--- a/mimosahaven/router.py
+++ b/mimosahaven/router.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from mimosahaven import attempts
+from mimosahaven import budget as budget_lib
 from mimosahaven import calls
 from mimosahaven import clock
 from mimosahaven import codes
@@ -24,6 +25,10 @@
         Code.UNKNOWN_KIND,
     }
 )
+# Made by the sender; they carry no report of the target's daemon.
+_LOCAL = frozenset(
+    {Code.TIMEOUT, Code.LINK_LOST, Code.NO_TARGET, Code.STILL_RUNNING}
+)
 
 
 @dataclasses.dataclass
@@ -82,12 +87,14 @@
         self._fleet = fleet
         self._chooser = chooser
         self._sender = sender
+        self._ratio = budget_lib.RetryRatio(settings)
         self.retry_count = 0
 
     async def call(self, request: Request) -> Routed:
         """Sends a call, with retries as the budget allows."""
         tried: set[str] = set()
         attempt = 0
+        self._ratio.record_fresh(request.service, clock.monotonic_ms())
         while True:
             routed = await self._attempt(request, attempt, tried)
             if not self._may_retry(request, routed.result):
@@ -98,11 +105,22 @@
     def _may_retry(self, request: Request, result: messages.Result) -> bool:
         if Code(result.code) in _FINAL:
             return False
-        if clock.monotonic_ms() >= request.context.deadline_ms:
+        now_ms = clock.monotonic_ms()
+        if now_ms >= request.context.deadline_ms:
             return False
-        if not (request.idempotent or run_state(result) is RunState.NOT_RUN):
+        repeatable = (
+            request.idempotent
+            or run_state(result) is RunState.NOT_RUN
+            or not self._settings.mechanisms.inquire
+        )
+        if not repeatable:
             return False
-        return request.context.budget.take()
+        budget = request.context.budget
+        return (
+            budget.remaining > 0
+            and self._ratio.allow(request.service, now_ms)
+            and budget.take()
+        )
 
     async def _attempt(
         self, request: Request, attempt: int, tried: set[str]
@@ -164,4 +182,17 @@
                 now_ms,
             )
         context.budget.give_back(min(part, result.unused_budget))
+        self._learn(context, request.service, result, now_ms)
         return result
+
+    def _learn(
+        self,
+        context: calls.CallContext,
+        service: str,
+        result: messages.Result,
+        now_ms: float,
+    ) -> None:
+        for below, (threshold, age_ms) in result.thresholds.items():
+            context.learn_threshold(below, threshold, now_ms - age_ms)
+        if Code(result.code) not in _LOCAL:
+            context.learn_threshold(service, result.threshold, now_ms)
