Add the decision log

Cause: the design asks for one log line for each routing or placement decision. The log keeps the last decisions as structs for GET /-/decisions and hands the lines to loguru in batches at each tick. The sink polls standard error and drops lines when it is full, so that a stopped reader cannot stop the daemon; dropped lines are counted.

--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,112 @@
+"""Tests of mimosahaven.decisions."""
+
+import os
+
+import msgspec
+import testtools
+from testtools import matchers
+
+from mimosahaven import balancing
+from mimosahaven import decisions
+from mimosahaven import settings as settings_lib
+
+Part = decisions.Part
+ACTION = "t0.0123456789abcdef.5.7"
+
+
+class DecisionLogTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.texts = []
+
+    def log(self, **settings) -> decisions.DecisionLog:
+        return decisions.DecisionLog(
+            settings_lib.LogSettings(**settings),
+            self.texts.append,
+            lambda: 1_780_545_853_123.0,
+        )
+
+    def test_text_line(self):
+        weighed = (balancing.Weighed("a", 1.25), balancing.Weighed("b", 30))
+        log = self.log()
+        log.decide(
+            Part.ROUTE, f"{ACTION}/1", "to a", "own failure domain", 0, weighed
+        )
+        log.decide(Part.GUARD, f"{ACTION}/1", "refused", "full", 2006)
+        self.assertThat(self.texts, matchers.Equals([]))
+        log.flush()
+        self.assertThat(
+            "".join(self.texts),
+            matchers.Equals(
+                f"04:04:13.123 route: {ACTION}/1#0 to a: own failure domain; "
+                "weighed a 1.2, b 30.0\n"
+                f"04:04:13.123 guard: {ACTION}/1#0 refused: full; "
+                "2006 QUEUE_FULL\n"
+            ),
+        )
+
+    def test_json_line(self):
+        log = self.log(format="json")
+        log.decide(Part.TABLE, "", "kept {}", "conflict", 5004, level="ERROR")
+        read = msgspec.json.decode(
+            self.texts[0].encode(), type=decisions.Decision
+        )
+        self.assertThat(read, matchers.Equals(log.find("")[0]))
+
+    def test_level_leaves_the_record_whole(self):
+        log = self.log(level="WARNING")
+        log.decide(Part.ROUTE, ACTION, "to a", "own failure domain")
+        log.flush()
+        self.assertThat(self.texts, matchers.Equals([]))
+        self.assertThat(log.find(ACTION), matchers.HasLength(1))
+
+    def test_full_batch_is_written_without_a_tick(self):
+        log = self.log()
+        for _ in range(64):
+            log.decide(Part.ROUTE, ACTION, "to a", "own failure domain")
+        self.assertThat("".join(self.texts).count("\n"), matchers.Equals(64))
+
+    def test_find_takes_nested_calls_but_no_other_action(self):
+        log = self.log(kept_decisions=5)
+        log.decide(Part.ENTRY, f"{ACTION}/9", "dropped from record", "")
+        for call_id in (
+            ACTION,
+            f"{ACTION}/1",
+            f"{ACTION}/1.2",
+            f"{ACTION}0/1",
+            f"{ACTION}/12",
+        ):
+            log.decide(Part.ENTRY, call_id, "to a", "")
+        found = [d.call_id for d in log.find(ACTION)]
+        self.assertThat(
+            found,
+            matchers.Equals(
+                [ACTION, f"{ACTION}/1", f"{ACTION}/1.2", f"{ACTION}/12"]
+            ),
+        )
+        found = [d.call_id for d in log.find(f"{ACTION}/1")]
+        self.assertThat(
+            found, matchers.Equals([f"{ACTION}/1", f"{ACTION}/1.2"])
+        )
+
+    def test_callers_cannot_forge_lines(self):
+        log = self.log()
+        log.decide(Part.ENTRY, "", "refused\nroute: forged", "x")
+        log.flush()
+        self.assertThat("".join(self.texts).splitlines(), matchers.HasLength(1))
+
+
+class LineSinkTest(testtools.TestCase):
+    def test_stopped_reader_does_not_block(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        sink = decisions.LineSink(writer)
+        lines = "".join(f"{i:099d}\n" for i in range(1_000))
+        for _ in range(20):
+            sink(lines)
+        self.assertThat(sink.dropped_count, matchers.GreaterThan(0))
+        written = os.read(reader, 10_000_000)
+        self.assertThat(
+            written.count(b"\n") + sink.dropped_count, matchers.Equals(20_000)
+        )
