Add the status and explain programs

Cause: operators need to see which table is in force where, which targets each failure domain sees as live, and why a call went where it did. status.py defines the answer of GET /-/status; fleetstatus.py summarises the answers of many daemons without IO, so that the program itself stays thin. Excluded: asking only a sample of a large fleet.

--- /dev/null
+++ b/mimosahaven/cli_explain.py
@@ -0,0 +1,138 @@
+"""Program mimosahaven-explain: tells what was decided about a call."""
+
+import asyncio
+import time
+from collections.abc import Sequence
+
+import click
+import msgspec
+
+from mimosahaven import cli_common
+from mimosahaven import codes
+from mimosahaven import daemonclient
+from mimosahaven import decisions
+from mimosahaven import identity
+
+ExitCode = cli_common.ExitCode
+
+_HELP = """\
+Tells in order what the daemons decided about one action or call.
+
+ID is an action id, as in the answer header Mimosahaven-Action, or a call
+id from a log line. The order is that of the daemons' wall clocks.
+
+\b
+Example:
+  mimosahaven-explain ordre-1.00c0ffee00c0ffee.81234.7 \\
+      --daemon 127.0.0.1:7001
+
+Exit codes: 0 success, 1 nothing is known about ID, 2 wrong usage, 3 no
+daemon answers.
+"""
+
+
+class Step(msgspec.Struct, frozen=True):
+    """A decision and the daemon that took it."""
+
+    target: str
+    decision: decisions.Decision
+
+
+@click.command(help=_HELP)
+@click.argument("identity_text", metavar="ID")
+@cli_common.daemon_option
+@click.option(
+    "--json", "as_json", is_flag=True, help="Print one JSON document."
+)
+@cli_common.version_option
+def command(
+    identity_text: str,
+    addresses: tuple[daemonclient.Address, ...],
+    as_json: bool,
+) -> int:
+    """Tells in order what the daemons decided about one action or call."""
+    _check_identity(identity_text)
+    return asyncio.run(_run(identity_text, list(addresses), as_json))
+
+
+def _check_identity(text: str) -> None:
+    try:
+        identity.parse_action_id(text.partition("/")[0])
+    except identity.BadActionIdError as error:
+        raise click.UsageError(
+            f"{text!r} is no action or call id; copy it from the answer "
+            "header Mimosahaven-Action or from a log line"
+        ) from error
+
+
+async def _run(
+    identity_text: str, addresses: list[daemonclient.Address], as_json: bool
+) -> int:
+    async with daemonclient.DaemonClient() as client:
+        gathered = await client.statuses(addresses, learn=len(addresses) == 1)
+        cli_common.require_answers(gathered)
+        await client.decisions(gathered, identity_text)
+    steps = in_order(gathered.pages.values())
+    if as_json:
+        click.echo(msgspec.json.encode(steps).decode())
+    else:
+        for step in steps:
+            click.echo(sentence(step))
+    for address, fault in sorted(gathered.faults.items()):
+        click.echo(f"Not asked: {address}: {fault}", err=True)
+    if not steps:
+        raise cli_common.ProgramError(
+            ExitCode.CHECK_FAILED,
+            f"no daemon has retained a decision on {identity_text}; it is too "
+            "old, or its daemons are gone",
+        )
+    return ExitCode.OK
+
+
+def in_order(pages) -> list[Step]:
+    """Returns the decisions of all pages by time."""
+    steps = [
+        Step(page.target, decision)
+        for page in pages
+        for decision in page.decisions
+    ]
+    return sorted(steps, key=lambda step: step.decision.at_ms)
+
+
+def sentence(step: Step) -> str:
+    """Returns a decision as plain sentences."""
+    decision = step.decision
+    seconds, ms = divmod(int(decision.at_ms), 1000)
+    clock = time.strftime("%H:%M:%S", time.gmtime(seconds))
+    text = f"{clock}.{ms:03d} {step.target} ({decision.part.value})"
+    _, _, number = decision.call_id.partition("/")
+    if number:
+        text += f", call {number}"
+    if decision.attempt:
+        text += f", attempt {decision.attempt + 1}"
+    text += f": {decision.choice}. Reason: {decision.reason}."
+    if len(decision.weighed) > 1:
+        text += f" Weighed: {decisions.weighed_text(decision.weighed)}."
+    return text + _code_sentence(decision.code)
+
+
+def _code_sentence(code: int) -> str:
+    if not code:
+        return ""
+    try:
+        info = codes.describe(codes.Code(code))
+    except ValueError:
+        return f" Code {code}, which this program does not know."
+    return (
+        f" Code {decisions.code_text(code)} ({info.run_state.value}): "
+        f"{info.text}"
+    )
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Runs the program."""
+    cli_common.run(command, "mimosahaven-explain", arguments)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mimosahaven/cli_status.py
@@ -0,0 +1,254 @@
+"""Program mimosahaven-status: shows the state of the daemons."""
+
+import asyncio
+import json
+from collections.abc import Sequence
+
+import click
+import msgspec
+import rich.box
+import rich.console
+import rich.table
+
+from mimosahaven import cli_common
+from mimosahaven import daemonclient
+from mimosahaven import decisions
+from mimosahaven import fleetstatus
+
+ExitCode = cli_common.ExitCode
+
+# Width for output that is not a terminal; long refusal lists must not wrap.
+_WIDTH_WITHOUT_TERMINAL = 120
+
+_HELP = """\
+Shows the table in force and its age, targets, refusals and retries.
+
+\b
+Example:
+  mimosahaven-status --daemon 127.0.0.1:7001 --watch 2
+
+Exit codes: 0 success, 1 a check failed (--check), 2 wrong usage, 3 no
+daemon answers.
+"""
+
+
+@click.command(help=_HELP)
+@cli_common.daemon_option
+@click.option(
+    "--json", "as_json", is_flag=True, help="Print one JSON document."
+)
+@click.option(
+    "--watch",
+    "watch_s",
+    type=click.FloatRange(min=0.1),
+    metavar="SECONDS",
+    help="Repeat until interrupted.",
+)
+@click.option(
+    "--check",
+    is_flag=True,
+    help="Exit with 1 unless every daemon answers, is ready and has the same "
+    "table in force, and none refused a table.",
+)
+@cli_common.version_option
+def command(
+    addresses: tuple[daemonclient.Address, ...],
+    as_json: bool,
+    watch_s: float | None,
+    check: bool,
+) -> int:
+    """Shows the table in force and its age, targets, refusals and retries."""
+    return asyncio.run(_run(list(addresses), as_json, watch_s, check))
+
+
+async def _run(
+    addresses: list[daemonclient.Address],
+    as_json: bool,
+    watch_s: float | None,
+    check: bool,
+) -> int:
+    async with daemonclient.DaemonClient() as client:
+        while True:
+            gathered = await client.statuses(
+                addresses, learn=len(addresses) == 1
+            )
+            if watch_s is None:
+                cli_common.require_answers(gathered)
+            summary = fleetstatus.summarise(list(gathered.statuses.values()))
+            if as_json:
+                click.echo(_document(gathered, summary))
+            else:
+                if watch_s:
+                    click.clear()
+                show(_console(), gathered, summary)
+            if watch_s is None:
+                break
+            await asyncio.sleep(watch_s)
+    if check and not passes(gathered, summary):
+        raise cli_common.ProgramError(
+            ExitCode.CHECK_FAILED,
+            "the daemons do not agree or are not all ready; see the tables "
+            "in force and the daemons without an answer",
+        )
+    return ExitCode.OK
+
+
+def passes(
+    gathered: daemonclient.Gathered, summary: fleetstatus.FleetStatus
+) -> bool:
+    """Returns whether the fleet is in order."""
+    return (
+        summary.agreed
+        and not gathered.faults
+        and summary.states.keys() == {"ready"}
+    )
+
+
+def _document(
+    gathered: daemonclient.Gathered, summary: fleetstatus.FleetStatus
+) -> str:
+    return json.dumps(
+        {
+            "summary": msgspec.to_builtins(summary),
+            "daemons": {
+                str(a): msgspec.to_builtins(s)
+                for a, s in gathered.statuses.items()
+            },
+            "unreachable": {str(a): f for a, f in gathered.faults.items()},
+        }
+    )
+
+
+def _console() -> rich.console.Console:
+    console = rich.console.Console(highlight=False, markup=False)
+    if not console.is_terminal:
+        console.width = _WIDTH_WITHOUT_TERMINAL
+    return console
+
+
+def show(
+    console: rich.console.Console,
+    gathered: daemonclient.Gathered,
+    summary: fleetstatus.FleetStatus,
+) -> None:
+    """Writes the summary as tables."""
+    states = ", ".join(f"{n} {state}" for state, n in summary.states.items())
+    console.print(f"Daemons: {summary.daemons} answered ({states}).")
+    for address, fault in sorted(gathered.faults.items()):
+        console.print(f"  {address}: {fault}")
+    _show_tables(console, summary)
+    _show_targets(console, summary)
+    _show_rows(console, summary)
+    retries = summary.retries
+    console.print(
+        f"Retries: {retries.retries} of {retries.attempts} attempts, "
+        f"{retries.denied} denied. Refused by guards: "
+        f"{_counts(summary.guard_refusals)}. Pauses: {summary.pauses}."
+    )
+    _show_quarantine(console, summary)
+
+
+def _grid(title: str, *columns: str) -> rich.table.Table:
+    grid = rich.table.Table(
+        title=title, title_justify="left", box=rich.box.SIMPLE
+    )
+    for column in columns:
+        grid.add_column(column)
+    return grid
+
+
+def _show_tables(
+    console: rich.console.Console, summary: fleetstatus.FleetStatus
+) -> None:
+    grid = _grid("Table in force", "version", "hash", "daemons", "age")
+    for table in summary.tables:
+        ages = sorted({_age(table.age_ms_min), _age(table.age_ms_max)})
+        grid.add_row(
+            str(table.version) if table.version else "none",
+            table.text_hash,
+            str(table.daemons),
+            " to ".join(ages),
+        )
+    console.print(grid)
+    for fault in summary.table_faults:
+        console.print(
+            f"Refused by {fault.daemons} daemons: "
+            f"{decisions.code_text(fault.code)}: {fault.text}"
+        )
+
+
+def _show_targets(
+    console: rich.console.Console, summary: fleetstatus.FleetStatus
+) -> None:
+    grid = _grid(
+        "Targets", "service", "seen from", "live", "leaving", "suspect"
+    )
+    for view in summary.services:
+        grid.add_row(
+            view.service,
+            view.seen_from,
+            str(view.live),
+            str(view.leaving),
+            str(view.suspect),
+        )
+    console.print(grid)
+    for item in summary.troubled:
+        console.print(
+            f"{item.target} ({item.service}) is {item.state.value} seen from "
+            f"{item.seen_from}; not live for {item.daemons} of {item.asked} "
+            "daemons there."
+        )
+
+
+def _show_rows(
+    console: rich.console.Console, summary: fleetstatus.FleetStatus
+) -> None:
+    grid = _grid("Rows", "row", "calls", "complete", "retries", "refusals")
+    for row in summary.rows:
+        grid.add_row(
+            row.row,
+            str(row.calls),
+            str(row.complete),
+            str(row.retries),
+            _counts(row.refusals),
+        )
+    console.print(grid)
+
+
+def _show_quarantine(
+    console: rich.console.Console, summary: fleetstatus.FleetStatus
+) -> None:
+    if not summary.quarantine:
+        console.print("Quarantine: empty.")
+        return
+    grid = _grid(
+        "Quarantine", "content", "strikes", "suspect at", "held at", "remaining"
+    )
+    for held in summary.quarantine:
+        grid.add_row(
+            held.fingerprint,
+            str(held.strikes),
+            str(held.suspecting),
+            str(held.holding),
+            _age(held.remaining_ms),
+        )
+    console.print(grid)
+
+
+def _counts(counts: dict[str, int]) -> str:
+    return ", ".join(f"{n} {name}" for name, n in counts.items()) or "none"
+
+
+def _age(age_ms: float) -> str:
+    if age_ms < 120_000:
+        return f"{age_ms / 1000:.1f} s"
+    return f"{age_ms / 60_000:.0f} min"
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Runs the program."""
+    cli_common.run(command, "mimosahaven-status", arguments)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/daemons.py
@@ -0,0 +1,87 @@
+"""Stand-ins for daemons that answer status and decisions."""
+
+import contextlib
+import http.server
+import io
+import threading
+import urllib.parse
+
+import msgspec
+
+from mimosahaven import decisions
+from mimosahaven import status
+
+
+class FakeDaemon:
+    """Serves fixed answers on a loopback port picked by the kernel."""
+
+    def __init__(self, test, kept=(), body=None):
+        fake = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            def do_GET(self):  # noqa: N802
+                url = urllib.parse.urlsplit(self.path)
+                query = urllib.parse.parse_qs(url.query)
+                data = fake.answer(url.path, query.get("action", [""])[0])
+                self.send_response(200)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            def log_message(self, format, *args):
+                pass
+
+        self.status = None
+        self._kept = list(kept)
+        self._body = body
+        server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.port = server.server_address[1]
+        self.address = f"127.0.0.1:{self.port}"
+        thread = threading.Thread(
+            target=server.serve_forever, args=(0.01,), daemon=True
+        )
+        thread.start()
+        test.addCleanup(thread.join)
+        test.addCleanup(server.server_close)
+        test.addCleanup(server.shutdown)
+
+    def answer(self, path: str, action: str) -> bytes:
+        if self._body is not None:
+            return self._body
+        if path == "/-/status":
+            return status.encode(self.status)
+        found = [d for d in self._kept if d.call_id.startswith(action)]
+        return msgspec.json.encode(
+            decisions.DecisionPage(self.status.target, found)
+        )
+
+
+def status_of(name: str, domain: str = "z1", **fields) -> status.DaemonStatus:
+    fields.setdefault("table", status.TableStatus(3, "abc", 1_000.0))
+    return status.DaemonStatus(
+        target=name,
+        service="presse",
+        failure_domain=domain,
+        incarnation="0123456789abcdef",
+        program_version="0.1.0",
+        state="ready",
+        uptime_ms=9_000.0,
+        **fields,
+    )
+
+
+def seen(name: str, state="live", port: int = 9) -> status.TargetStatus:
+    return status.TargetStatus(
+        name, "presse", "z1", "127.0.0.1", port, status.TargetState(state)
+    )
+
+
+def run_main(main, *arguments: str) -> tuple[int, str, str]:
+    """Returns exit code, standard output and standard error."""
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        try:
+            main(list(arguments))
+        except SystemExit as end:
+            return int(end.code), out.getvalue(), err.getvalue()
+    raise AssertionError("the program did not exit")
--- /dev/null
+++ b/tests/test_cli_explain.py
@@ -0,0 +1,101 @@
+"""Tests of mimosahaven.cli_explain."""
+
+import json
+
+import testtools
+from testtools import matchers
+
+from mimosahaven import balancing
+from mimosahaven import cli_explain
+from mimosahaven import decisions
+from tests import daemons
+
+ACTION = "a.0123456789abcdef.5.7"
+Part = decisions.Part
+
+
+def decision(at_ms, part, number, choice, reason, **fields):
+    return decisions.Decision(
+        at_ms=at_ms,
+        part=part,
+        call_id=f"{ACTION}/{number}",
+        choice=choice,
+        reason=reason,
+        **fields,
+    )
+
+
+class ExplainTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        weighed = (balancing.Weighed("b", 1.0), balancing.Weighed("c", 2.0))
+        other = daemons.FakeDaemon(
+            self,
+            [decision(2_000, Part.GUARD, "1", "refused", "full", code=2006)],
+        )
+        other.status = daemons.status_of("b")
+        self.first = daemons.FakeDaemon(
+            self,
+            [
+                decision(3_000, Part.ROUTE, "1", "to c", "retry", attempt=1),
+                decision(
+                    1_000,
+                    Part.ROUTE,
+                    "1",
+                    "to b",
+                    "own domain",
+                    weighed=weighed,
+                ),
+            ],
+        )
+        self.first.status = daemons.status_of(
+            "a", targets=[daemons.seen("b", port=other.port)]
+        )
+
+    def explain(self, *arguments):
+        return daemons.run_main(
+            cli_explain.main, *arguments, "--daemon", self.first.address
+        )
+
+    def test_sentences_in_order(self):
+        code, out, err = self.explain(ACTION)
+        self.assertThat((code, err), matchers.Equals((0, "")))
+        self.assertThat(
+            out.splitlines(),
+            matchers.Equals(
+                [
+                    "00:00:01.000 a (route), call 1: to b. Reason: own domain. "
+                    "Weighed: b 1.0, c 2.0.",
+                    "00:00:02.000 b (guard), call 1: refused. Reason: full. "
+                    "Code 2006 QUEUE_FULL (not-run): The queue of the target "
+                    "is full.",
+                    "00:00:03.000 a (route), call 1, attempt 2: to c. "
+                    "Reason: retry.",
+                ]
+            ),
+        )
+
+    def test_json(self):
+        _, out, _ = self.explain(ACTION, "--json")
+        self.assertThat(
+            [step["target"] for step in json.loads(out)],
+            matchers.Equals(["a", "b", "a"]),
+        )
+
+    def test_unknown_action(self):
+        code, _, err = self.explain(f"{ACTION}99")
+        self.assertThat(code, matchers.Equals(1))
+        self.assertThat(err.splitlines(), matchers.HasLength(1))
+
+    def test_no_identity(self):
+        code, _, err = self.explain("order-17")
+        self.assertThat(code, matchers.Equals(2))
+        self.assertThat(err, matchers.Contains("Mimosahaven-Action"))
+
+    def test_code_of_a_newer_daemon(self):
+        step = cli_explain.Step(
+            "a", decision(0, Part.ENTRY, "1", "refused", "new", code=2999)
+        )
+        self.assertThat(
+            cli_explain.sentence(step), matchers.Contains("Code 2999, which")
+        )
--- /dev/null
+++ b/tests/test_fleetstatus.py
@@ -0,0 +1,92 @@
+"""Tests of mimosahaven.fleetstatus."""
+
+import testtools
+from testtools import matchers
+
+from mimosahaven import fleetstatus
+from mimosahaven import status
+from tests import daemons
+
+TargetState = status.TargetState
+
+
+class SummariseTest(testtools.TestCase):
+    def test_views_differ_by_failure_domain(self):
+        # In a partition each side must show its own view.
+        summary = fleetstatus.summarise(
+            [
+                daemons.status_of("a", "z1", targets=[daemons.seen("t")]),
+                daemons.status_of("b", "z1", targets=[daemons.seen("t")]),
+                daemons.status_of(
+                    "c", "z2", targets=[daemons.seen("t", "suspect")]
+                ),
+            ]
+        )
+        self.assertThat(
+            summary.services,
+            matchers.Equals(
+                [
+                    fleetstatus.ServiceView("presse", "z1", 1, 0, 0),
+                    fleetstatus.ServiceView("presse", "z2", 0, 0, 1),
+                ]
+            ),
+        )
+        self.assertThat(
+            summary.troubled,
+            matchers.Equals(
+                [
+                    fleetstatus.TroubledTarget(
+                        "t", "presse", "z2", TargetState.SUSPECT, 1, 1
+                    )
+                ]
+            ),
+        )
+
+    def test_one_suspicion_is_listed_but_does_not_count(self):
+        views = [daemons.seen("t", s) for s in ("live", "live", "suspect")]
+        summary = fleetstatus.summarise(
+            [daemons.status_of(str(v), targets=[v]) for v in views]
+        )
+        self.assertThat(summary.services[0].live, matchers.Equals(1))
+        self.assertThat(summary.troubled[0].daemons, matchers.Equals(1))
+        self.assertThat(summary.troubled[0].asked, matchers.Equals(3))
+
+    def test_agreement(self):
+        same = [daemons.status_of("a"), daemons.status_of("b")]
+        self.assertTrue(fleetstatus.summarise(same).agreed)
+        for table in (
+            status.TableStatus(4, "abd"),
+            status.TableStatus(3, "abd"),
+            status.TableStatus(),
+            status.TableStatus(3, "abc", fault_code=5004, fault_text="x"),
+        ):
+            other = daemons.status_of("c", table=table)
+            self.assertFalse(fleetstatus.summarise([*same, other]).agreed)
+        alone = daemons.status_of("c", table=status.TableStatus())
+        self.assertFalse(fleetstatus.summarise([alone]).agreed)
+
+    def test_counts_are_added(self):
+        summary = fleetstatus.summarise(
+            [
+                daemons.status_of(
+                    name,
+                    rows=[status.RowStatus("c/k", 9, 6, {"ROW_LIMIT": 3}, 2)],
+                    quarantine=[status.QuarantineStatus("f", 2, held, 7.0)],
+                    retries=status.RetryStatus(10, 2, 1),
+                )
+                for name, held in (("a", True), ("b", False))
+            ]
+        )
+        self.assertThat(
+            summary.rows,
+            matchers.Equals(
+                [status.RowStatus("c/k", 18, 12, {"ROW_LIMIT": 6}, 4)]
+            ),
+        )
+        self.assertThat(
+            summary.quarantine,
+            matchers.Equals([fleetstatus.HeldContent("f", 2, 1, 1, 7.0)]),
+        )
+        self.assertThat(
+            summary.retries, matchers.Equals(status.RetryStatus(20, 4, 2))
+        )
