Allow the default of ledger.answer_bytes_max

Cause: the default of 16,777,216 bytes lay above the bound of 10,000,000 of its type, so a settings file that stated the default was refused. Models do not check defaults. Excluded: a lower default. Conclusion: the default can be written down.

--- a/mimosahaven/settings.py
+++ b/mimosahaven/settings.py
@@ -33,6 +33,7 @@
 Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
 PositiveMs = Annotated[float, pydantic.Field(gt=0, le=3_600_000)]
 Count = Annotated[int, pydantic.Field(ge=1, le=10_000_000)]
+Bytes = Annotated[int, pydantic.Field(ge=1, le=1_073_741_824)]
 
 
 class Part(pydantic.BaseModel):
@@ -84,7 +85,7 @@
 
     action_window_ms: PositiveMs = 120_000
     records_max: Count = 200_000
-    answer_bytes_max: Count = 16_777_216
+    answer_bytes_max: Bytes = 16_777_216
     key_view_max_age_ms: PositiveMs = 10_000
 
 
@@ -193,7 +194,7 @@
     link: Endpoint
     platform: Endpoint | None = None
     seeds: list[Endpoint] = []
-    max_body_bytes: Count = 8_388_608
+    max_body_bytes: Bytes = 8_388_608
     drain_ms: PositiveMs = 30_000
     seed: int | None = None
     admission: AdmissionSettings = AdmissionSettings()
