--- a/tests/test_cli_status.py
+++ b/tests/test_cli_status.py
@@ -1,6 +1,7 @@
 """Tests of mimosahaven.cli_status and what it shares with other programs."""
 
 import json
+from unittest import mock
 
 import testtools
 from testtools import matchers
@@ -78,6 +79,16 @@
         self.assertThat(code, matchers.Equals(3))
         self.assertThat(err.splitlines(), matchers.HasLength(1))
 
+    def test_watch_survives_an_outage(self):
+        # Whoever watches an incident must not lose the view in its middle.
+        sleeps = mock.AsyncMock(side_effect=[None, KeyboardInterrupt])
+        with mock.patch.object(cli_status.asyncio, "sleep", sleeps):
+            code, out, _ = self.run_status(
+                *("--daemon", "127.0.0.1:1", "--watch", "1", "--json")
+            )
+        self.assertThat(code, matchers.Equals(0))
+        self.assertThat(out.splitlines(), matchers.HasLength(2))
+
     def test_wrong_usage_takes_one_line(self):
         for arguments in (
             [],
