Test routing with its mechanisms switched off

Cause: the checks of the subset and of early LEAVING refusals did not show that they fail without the mechanism. Adds a property: an untried target is always found, whatever failed before. Excluded: nothing.

--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -170,18 +170,52 @@
             router.finish(target, code, latency_ms, 0.0, 0, 10_000.0)
         self.assertThat(set(spread(router, listing)), matchers.Equals({"t1"}))
 
+    @hypothesis_settings(derandomize=True, max_examples=100, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 4),
+                st.sampled_from(list(Code)),
+                st.integers(0, 9),
+                st.floats(0, 2_000),
+            ),
+            max_size=60,
+        ),
+        st.sets(st.integers(0, 4)),
+    )
+    def test_untried_target_is_always_found(self, events, tried):
+        # Whatever failed before, a service with live targets is reachable.
+        router, listing = chooser(), members("z1", "z1", "z2", "z2", "z3")
+        router.choose("presse", listing, 0, (), 0.0)
+        now_ms = 0.0
+        for index, code, threshold, step_ms in events:
+            now_ms += step_ms
+            router.begin(f"t{index}", now_ms)
+            router.finish(f"t{index}", code, 1.0, 0.5, threshold, now_ms)
+            if code is Code.LINK_LOST:
+                router.learn_lost(f"t{index}", now_ms)
+        names = {f"t{index}" for index in tried}
+        choice = router.choose("presse", listing, 5, names, now_ms)
+        self.assertThat(
+            choice.target is None, matchers.Is(len(names) == len(listing))
+        )
+        if choice.target:
+            self.assertNotIn(choice.target.target, names)
+
     def test_round_robin(self):
         router = chooser(routing={"algorithm": "round_robin"})
         counts = spread(router, members("z1", "z1", "z1"), count=9)
         self.assertThat(set(counts.values()), matchers.Equals({3}))
 
     def test_leaving_refusal_is_heeded_before_the_list_changes(self):
-        router, listing = chooser(), members("z1", "z1", "z1")
-        router.choose("presse", listing, 0, (), 0.0)
-        router.finish("t1", Code.LEAVING, 1.0, 0.0, 0, 10_000.0)
-        self.assertThat(
-            set(spread(router, listing)), matchers.Equals({"t0", "t2"})
-        )
+        listing = members("z1", "z1", "z1")
+        for enabled in (True, False):
+            router = chooser(mechanisms={"ejection": enabled})
+            router.choose("presse", listing, 0, (), 0.0)
+            router.finish("t1", Code.LEAVING, 1.0, 0.0, 0, 10_000.0)
+            self.assertThat(
+                "t1" in spread(router, listing), matchers.Is(not enabled)
+            )
 
 
 class SubsetTest(testtools.TestCase):
@@ -195,6 +229,8 @@
         # Lost targets are replaced by the next ones in rank.
         replaced = set(spread(router, listing))
         self.assertThat(replaced & used, matchers.Equals(set()))
+        unbounded = spread(chooser(routing={"subset_size": 60}), listing)
+        self.assertThat(unbounded, matchers.HasLength(30))
 
     @hypothesis_settings(derandomize=True, max_examples=50, deadline=None)
     @given(st.integers(0, 39), st.text("abc", min_size=1, max_size=5))
