--- /dev/null
+++ b/mimosahaven/settingsdoc.py
@@ -0,0 +1,212 @@
+"""Reference of the settings, generated from their models for the docs."""
+
+import pathlib
+import typing
+from collections.abc import Iterator
+
+import click
+import pydantic
+from pydantic import fields as pydantic_fields
+
+from mimosahaven import settings as settings_lib
+
+BEGIN = "<!-- settings: begin -->"
+END = "<!-- settings: end -->"
+
+_UNITS = (("bytes", "bytes"), ("per_s", "1/s"), ("_ms", "ms"))
+_BOUNDS = (("gt", "> "), ("ge", ">= "), ("lt", "< "), ("le", "<= "))
+
+# What the settings are for, by their path without "settings".
+MEANINGS = {
+    "target.name": "Name of the local target, unique in the fleet.",
+    "target.service": "Service that the target belongs to.",
+    "target.failure_domain": "Failure domain that the VM stands in.",
+    "target.region": "Region that the VM stands in.",
+    "target.endpoint.host": "IP number of the target.",
+    "target.endpoint.port": "Port of the target.",
+    "target.slots": "Calls that the target can run at once.",
+    "target.connections": "Connections that the target accepts.",
+    "entry.host": "IP number of the entry (HTTP).",
+    "entry.port": "Port of the entry.",
+    "link.host": "IP number for links from other daemons.",
+    "link.port": "Port for links.",
+    "platform": "Configuration service (`host` and `port`); unset reads none.",
+    "seeds": "Links (`host` and `port`) of daemons to ask at the start.",
+    "max_body_bytes": "Largest body of a request or an answer.",
+    "drain_ms": "Longest wait for calls in flight on a planned stop.",
+    "seed": "Seed of the random choices; unset means a random one.",
+    "admission.algorithm": "Algorithm of the concurrency limit.",
+    "admission.queue_factor": "Queue length as a multiple of the limit.",
+    "admission.queue_wait_target_ms": "Queue wait that counts as overload.",
+    "admission.cold_limit_share": "Share of `slots` a cold target starts at.",
+    "admission.slow_start_ms": "Time over which a cold target's limit rises.",
+    "admission.reserve_share_max": "Largest share reserved for important rows.",
+    "shedding.window_ms": "Interval between changes of the shed threshold.",
+    "shedding.expiry_ms": "Time after which a learnt threshold has no effect.",
+    "shedding.probe_one_in": "One in this many shed calls is let through.",
+    "ledger.action_window_ms": "How long an action id stays valid.",
+    "ledger.records_max": "Largest number of records.",
+    "ledger.answer_bytes_max": "Memory for kept answers.",
+    "ledger.key_view_max_age_ms": "Oldest list with which keys are accepted.",
+    "retry.ratio": "Retries per fresh call, for each service and daemon.",
+    "retry.per_s_min": "Retries allowed beside the ratio.",
+    "retry.window_ms": "Time over which the ratio is taken.",
+    "routing.algorithm": "Algorithm that chooses a target.",
+    "routing.subset_size": "Targets of a service that a daemon uses.",
+    "routing.local_min": "Usable local targets below which calls spill over.",
+    "routing.ejection_failures": "Consecutive failures that eject a target.",
+    "routing.ejection_ms": "First ejection; each further one doubles it.",
+    "routing.ejection_max_ms": "Longest ejection.",
+    "routing.slow_start_ms": "Time over which a returning target's load rises.",
+    "links.heartbeat_ms": "Interval of heartbeats on links in use.",
+    "links.silence_ms": "Silence after which a link is replaced.",
+    "links.idle_ms": "Time without calls after which heartbeats stop.",
+    "links.high_water_messages": "Messages queued on a link before it is full.",
+    "gossip.interval_ms": "Interval of digests.",
+    "gossip.push_fanout": "Peers that a new table or list is sent to at once.",
+    "gossip.watchers_per_domain": "Daemons per domain that watch the platform.",
+    "gossip.watcher_silence_ms": "Silence of watchers before others read.",
+    "gossip.contact_max_age_ms": "Age up to which a platform contact is fresh.",
+    "gossip.reads_per_s_per_domain": "Most platform reads by non-watchers.",
+    "gossip.watch_wait_ms": "Longest wait of one watch.",
+    "gossip.join_wait_ms": "Longest wait for peers' versions at the start.",
+    "gossip.share_settle_ms": "Time before a new daemon uses its row shares.",
+    "pause.gap_ms": "Gap between events that counts as a pause.",
+    "pause.tick_ms": "Interval of the timer behind the detector.",
+    "pause.backlog_ms": "Time after a pause with HTTP requests refused.",
+    "pause.refresh_wait_ms": "Longest refusal of new calls after a pause.",
+    "quarantine.hold_ms": "Time that a content is held.",
+    "quarantine.suspect_ms": "Time that one strike counts.",
+    "log.format": "Form of the log lines on standard error.",
+    "log.level": "Lowest level that is written.",
+    "log.kept_decisions": "Decisions retained for `mimosahaven-explain`.",
+    "metrics.endpoint": "Statsd server (`host` and `port`); unset sends none.",
+    "metrics.prefix": "First part of the metric names.",
+    "metrics.interval_ms": "Interval between sends.",
+    "mechanisms.admission": "Admission control at the guard.",
+    "mechanisms.shed_at_entry": "Shedding at the entry.",
+    "mechanisms.reserve": "Reserve for important rows.",
+    "mechanisms.chain_budget": "Retry budget over the whole chain.",
+    "mechanisms.inquire": "Inquiry after unknown outcomes.",
+    "mechanisms.ledger": "Ledger of calls at the guard.",
+    "mechanisms.incarnation_check": "Check of the incarnation a call is for.",
+    "mechanisms.clock_skew": "Subtraction of time spent in buffers.",
+    "mechanisms.pause_detector": "Detection of pauses of the own process.",
+    "mechanisms.heartbeat": "Heartbeats on links.",
+    "mechanisms.quarantine": "Quarantine of contents that crash targets.",
+    "mechanisms.ejection": "Ejection of failing targets.",
+    "mechanisms.gossip": "Gossip between daemons.",
+    "mechanisms.table_order": "Refusal of older and conflicting tables.",
+    "mechanisms.row_limits": "Rate limits of rows.",
+    "mechanisms.drain": "Drain on a planned stop.",
+    "mechanisms.whole_answers": "Refusal of truncated answers.",
+}
+
+
+def reference(
+    model: type[pydantic.BaseModel] = settings_lib.Settings,
+) -> list[str]:
+    """Returns the lines of the settings table in docs/OPERATIONS.md."""
+    lines = [
+        "| Setting | Default | Unit | Allowed | Meaning |",
+        "|---|---|---|---|---|",
+    ]
+    for path, field in _walk(model, ""):
+        meaning = field.description or MEANINGS.get(path, "")
+        lines.append(
+            f"| `{path}` | {_default(field)} | {_unit(path, field)} "
+            f"| {_allowed(field)} | {meaning} |"
+        )
+    return lines
+
+
+def update(text: str) -> str:
+    """Returns the text of a document with the table brought up to date.
+
+    Raises:
+      ValueError: The document lacks the marks around the table.
+    """
+    head, begin, rest = text.partition(BEGIN)
+    _, end, tail = rest.partition(END)
+    if not begin or not end:
+        raise ValueError(f"{BEGIN} and {END} are missing")
+    table = "\n".join(reference())
+    return f"{head}{BEGIN}\n{table}\n{END}{tail}"
+
+
+def _walk(
+    model: type[pydantic.BaseModel], prefix: str
+) -> Iterator[tuple[str, pydantic_fields.FieldInfo]]:
+    for name, field in model.model_fields.items():
+        part = _part_of(field)
+        # A part with a meaning of its own may be unset; it takes one line.
+        if part is not None and prefix + name not in MEANINGS:
+            yield from _walk(part, f"{prefix}{name}.")
+        else:
+            yield prefix + name, field
+
+
+def _part_of(
+    field: pydantic_fields.FieldInfo,
+) -> type[pydantic.BaseModel] | None:
+    for kind in (field.annotation, *typing.get_args(field.annotation)):
+        if isinstance(kind, type) and issubclass(kind, pydantic.BaseModel):
+            return kind
+    return None
+
+
+def _default(field: pydantic_fields.FieldInfo) -> str:
+    if field.is_required():
+        return "required"
+    value = field.default
+    if value is None:
+        return "unset"
+    if isinstance(value, bool):
+        return "on" if value else "off"
+    if isinstance(value, str):
+        return f"`{value}`" if value else "empty"
+    return f"{value:,}" if isinstance(value, int | float) else "empty"
+
+
+def _unit(path: str, field: pydantic_fields.FieldInfo) -> str:
+    name = path.rpartition(".")[2]
+    for part, unit in _UNITS:
+        if part in name:
+            return unit
+    kinds = {field.annotation, *typing.get_args(field.annotation)}
+    if bool in kinds:
+        return "switch"
+    if float in kinds:
+        return "ratio"
+    return "number" if int in kinds else "text"
+
+
+def _allowed(field: pydantic_fields.FieldInfo) -> str:
+    if typing.get_origin(field.annotation) is typing.Literal:
+        return ", ".join(f"`{v}`" for v in typing.get_args(field.annotation))
+    bounds = [
+        f"{sign}{getattr(item, name):,}"
+        for name, sign in _BOUNDS
+        for item in field.metadata
+        if getattr(item, name, None) is not None
+    ]
+    return ", ".join(bounds)
+
+
+@click.command()
+@click.argument(
+    "document",
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+    default="docs/OPERATIONS.md",
+)
+def main(document: pathlib.Path) -> None:
+    """Brings the table of settings in DOCUMENT up to date.
+
+    Example: python -m mimosahaven.settingsdoc docs/OPERATIONS.md
+    """
+    text = document.read_text(encoding="utf-8")
+    document.write_text(update(text), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_settingsdoc.py
@@ -0,0 +1,63 @@
+"""Tests of mimosahaven.settingsdoc."""
+
+import pathlib
+
+import pydantic
+import testtools
+from testtools import matchers
+
+from mimosahaven import settings as settings_lib
+from mimosahaven import settingsdoc
+from tests import samples
+
+DOCUMENT = pathlib.Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
+
+
+class ReferenceTest(testtools.TestCase):
+    def test_document_is_current(self):
+        # Run `python -m mimosahaven.settingsdoc` when this fails.
+        text = DOCUMENT.read_text(encoding="utf-8")
+        self.assertThat(settingsdoc.update(text), matchers.Equals(text))
+
+    def test_every_setting_has_a_meaning(self):
+        for line in settingsdoc.reference():
+            self.assertThat(line, matchers.Not(matchers.EndsWith("|  |")))
+
+    def test_no_meaning_without_a_setting(self):
+        text = "\n".join(settingsdoc.reference())
+        for path in settingsdoc.MEANINGS:
+            self.assertThat(text, matchers.Contains(f"| `{path}` |"))
+
+    def test_units_and_bounds(self):
+        class Model(settings_lib.Part):
+            wait_ms: settings_lib.PositiveMs = 1_500
+            on: bool = False
+            name: str
+
+        self.assertThat(
+            settingsdoc.reference(Model)[2:],
+            matchers.Equals(
+                [
+                    "| `wait_ms` | 1,500 | ms | > 0, <= 3,600,000 |  |",
+                    "| `on` | off | switch |  |  |",
+                    "| `name` | required | text |  |  |",
+                ]
+            ),
+        )
+
+    def test_document_without_marks_is_refused(self):
+        self.assertRaises(ValueError, settingsdoc.update, "# Operations")
+
+    def test_every_default_is_allowed(self):
+        # Models do not check defaults: one lay above its own bound.
+        defaults = samples.settings().model_dump()
+        settings_lib.Settings.model_validate(defaults)
+
+        class Wrong(settings_lib.Part):
+            size: settings_lib.Count = 99_999_999
+
+        self.assertRaises(
+            pydantic.ValidationError,
+            Wrong.model_validate,
+            Wrong().model_dump(),
+        )
