Add the forwarder that swallows bytes of open connections

Failure tests need open connections that go silent while new ones work, which neither killing nor stopping a process gives. The runner can put a forwarder in front of a daemon's link port and publishes its port. A cut sets a linger time of 0: without it the peer read an orderly end of stream.

--- /dev/null
+++ b/mimosahaven/testing/forwarder.py
@@ -0,0 +1,122 @@
+"""TCP forwarder that can swallow bytes, delay them or cut connections."""
+
+import asyncio
+import contextlib
+import dataclasses
+import enum
+import socket
+import struct
+
+CHUNK_BYTES = 65_536
+NO_LINGER = struct.pack("ii", 1, 0)
+
+
+class Direction(enum.Flag):
+    """Direction of bytes, as seen from the end that connected."""
+
+    FORTH = enum.auto()
+    BACK = enum.auto()
+    BOTH = FORTH | BACK
+
+
+@dataclasses.dataclass(eq=False)
+class _Connection:
+    writers: list[asyncio.StreamWriter]
+    swallowed: Direction = Direction(0)
+
+    def cut(self) -> None:
+        for writer in self.writers:
+            if not writer.transport.is_closing():
+                # Without a linger time of 0 the peer sees an orderly end.
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+                )
+                writer.transport.abort()
+
+
+class Forwarder:
+    """Forwards connections to one address.
+
+    Attributes:
+      port: Port on which it listens, once started.
+      delay_ms: Time that every chunk waits in each direction.
+      swallowed_bytes: Bytes that were read and discarded.
+    """
+
+    def __init__(self, host: str, to_host: str, to_port: int):
+        self.port = 0
+        self.delay_ms = 0.0
+        self.swallowed_bytes = 0
+        self._host = host
+        self._to = (to_host, to_port)
+        self._server: asyncio.Server | None = None
+        self._connections: set[_Connection] = set()
+
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    async def start(self) -> None:
+        """Listens on a port that the kernel picks."""
+        self._server = await asyncio.start_server(
+            self._serve, self._host, self.port
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stops listening and cuts all connections."""
+        if self._server is not None:
+            self._server.close()
+            self.cut()
+            await self._server.wait_closed()
+
+    def swallow(self, direction: Direction = Direction.BOTH) -> None:
+        """Discards all further bytes of the connections open at present.
+
+        They stay open at both ends; connections opened later work.
+        """
+        for connection in self._connections:
+            connection.swallowed |= direction
+
+    def cut(self) -> None:
+        """Resets the connections open at present."""
+        for connection in list(self._connections):
+            connection.cut()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            there = await asyncio.open_connection(*self._to)
+        except OSError:
+            writer.transport.abort()
+            return
+        connection = _Connection([writer, there[1]])
+        self._connections.add(connection)
+        forth = self._pump(connection, Direction.FORTH, reader, there[1])
+        back = self._pump(connection, Direction.BACK, there[0], writer)
+        try:
+            await asyncio.gather(forth, back)
+        finally:
+            self._connections.discard(connection)
+            connection.cut()
+
+    async def _pump(
+        self,
+        connection: _Connection,
+        direction: Direction,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                await asyncio.sleep(self.delay_ms / 1000)
+                if direction in connection.swallowed:
+                    self.swallowed_bytes += len(data)
+                else:
+                    writer.write(data)
+                    await writer.drain()
+        if direction not in connection.swallowed:
+            with contextlib.suppress(OSError):
+                writer.write_eof()
--- a/mimosahaven/testing/placement.py
+++ b/mimosahaven/testing/placement.py
@@ -81,9 +81,9 @@
     node: Node, nodes: list[Node], region: str, platform: dict, seed: int
 ) -> dict:
     """Returns the settings of a daemon, as its file holds them."""
-    others = [n for n in nodes if n is not node]
-    start = nodes.index(node) % max(1, len(others))
-    seeds = (others[start:] + others[:start])[:SEEDS]
+    names = [n.name for n in nodes]
+    place_in_list = names.index(node.name)
+    seeds = (nodes[place_in_list + 1 :] + nodes[:place_in_list])[:SEEDS]
     return {
         "target": {
             "name": node.name,
--- a/mimosahaven/testing/runner.py
+++ b/mimosahaven/testing/runner.py
@@ -1,6 +1,7 @@
 """Runs a deployment as separate processes on loopback addresses."""
 
 import asyncio
+import dataclasses
 import json
 import pathlib
 import signal
@@ -10,6 +11,7 @@
 
 from mimosahaven import settings as settings_lib
 from mimosahaven.testing import deployments
+from mimosahaven.testing import forwarder
 from mimosahaven.testing import placement
 from mimosahaven.testing import processes
 from mimosahaven.testing import runs as runs_lib
@@ -30,6 +32,7 @@
       nodes: The target VMs.
       session: HTTP client for the tests.
       directory: Directory of the settings, logs and records of runs.
+      forwarders: Forwarder in front of a daemon's link port, by target.
     """
 
     def __init__(
@@ -41,6 +44,7 @@
         cold_start_ms: float = 0.0,
         parts: frozenset[str] = ALL_PARTS,
         directory: pathlib.Path | None = None,
+        forwarded: tuple[str, ...] = (),
     ):
         """Describes the processes; nothing is started yet.
 
@@ -53,6 +57,7 @@
           parts: What to start: `platform`, `targets`, `daemons`.
           directory: Directory of settings, logs and records of runs, which
             is kept; by default a temporary one, which is removed.
+          forwarded: Targets whose daemons are linked to through a forwarder.
         """
         self.deployment = deployment
         self.nodes = placement.place(deployment)
@@ -71,6 +76,14 @@
             directory = pathlib.Path(self._temporary.name)
         self.directory = directory
         self._processes: dict[str, processes.Process] = {}
+        self.forwarders = {
+            name: forwarder.Forwarder(
+                self.node(name).host,
+                self.node(name).host,
+                self.node(name).link_port,
+            )
+            for name in forwarded
+        }
 
     @property
     def platform_url(self) -> str:
@@ -90,6 +103,8 @@
 
     async def _start(self) -> None:
         self.session = aiohttp.ClientSession()
+        for between in self.forwarders.values():
+            await between.start()
         if PLATFORM in self._parts:
             await self._start_platform()
         for number, node in enumerate(self.nodes):
@@ -155,7 +170,7 @@
         path = self.directory / f"{node.daemon}.json"
         settings = placement.daemon_settings(
             node,
-            self.nodes,
+            self._published(),
             self.deployment.region,
             {"host": self._host, "port": self._platform_port},
             self._seed * 1000 + number,
@@ -170,6 +185,15 @@
             "ready",
         )
 
+    def _published(self) -> list[placement.Node]:
+        """Returns the VMs with the ports that others connect to."""
+        return [
+            dataclasses.replace(node, link_port=self.forwarders[node.name].port)
+            if node.name in self.forwarders
+            else node
+            for node in self.nodes
+        ]
+
     def _runs_path(self, node: placement.Node) -> pathlib.Path:
         return self.directory / f"{node.name}.runs"
 
@@ -182,7 +206,7 @@
     ) -> None:
         """Publishes the list of VMs; states holds those that are not live."""
         listing = placement.members(
-            self.nodes, self.deployment.region, version, states or {}
+            self._published(), self.deployment.region, version, states or {}
         )
         text = json.dumps(listing)
         await self.put(f"{self.platform_url}/v1/vms", text)
@@ -264,6 +288,8 @@
         results = await asyncio.gather(
             *(process.end() for process in started), return_exceptions=True
         )
+        for between in self.forwarders.values():
+            await between.stop()
         if self.session is not None:
             await self.session.close()
         if self._temporary is not None:
