Add the open-loop load and experiment tool

Goals are stated as goodput of complete requests and recovery time, so the tool counts whole requests and takes latency from the intended send time. Recovery is measured on the share of due requests that succeed: at 100/s the chance in the number of arrivals alone is larger than the 5% that is to be seen.

--- /dev/null
+++ b/mimosahaven/loadplan.py
@@ -0,0 +1,112 @@
+"""Plan of a load experiment, read from JSON with comments."""
+
+import pathlib
+from typing import Annotated
+
+import json5
+import pydantic
+
+from mimosahaven import settings as settings_lib
+
+PositiveS = Annotated[float, pydantic.Field(gt=0, le=86_400)]
+Url = Annotated[str, pydantic.Field(pattern=r"^http://[0-9a-f.:\[\]]+(/.*)?$")]
+
+
+class KindLoad(settings_lib.Part):
+    """Requests of one caller and kind.
+
+    Attributes:
+      path: Path at the entry, `/<service>/<path>`.
+      share: Share of the offered load.
+    """
+
+    caller: str
+    kind: str
+    method: str = "GET"
+    path: Annotated[str, pydantic.Field(pattern=r"^/[^/]+/")]
+    share: Annotated[float, pydantic.Field(gt=0, le=1)]
+    idempotent: bool = True
+    important: bool = False
+
+
+class Put(settings_lib.Part):
+    """A document that is sent with PUT, such as faults of a fake."""
+
+    url: Url
+    body: dict
+
+
+class Phase(settings_lib.Part):
+    """A time with one offered rate; its puts are sent when it begins."""
+
+    name: str
+    duration_s: PositiveS
+    rate_per_s: Annotated[float, pydantic.Field(gt=0, le=100_000)]
+    puts: list[Put] = []
+
+
+class Resend(settings_lib.Part):
+    """How clients send again.
+
+    Attributes:
+      timeout_ms: Time after which a client gives up a send. It is told to
+        the entry as the deadline.
+      resends: Sends after the first one. They follow at once on a timeout
+        and on an answer that is not whole, or is not a success and does not
+        say "not run".
+      refused: Whether they follow on "not run" as well.
+      same_action_share: Share of requests whose sends all carry one action
+        id; in the others each send is an action of its own.
+    """
+
+    timeout_ms: Annotated[float, pydantic.Field(gt=0)] = 1_000
+    resends: Annotated[int, pydantic.Field(ge=0, le=100)] = 2
+    refused: bool = False
+    same_action_share: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.5
+
+
+class Plan(settings_lib.Part):
+    """All that one load process does.
+
+    Attributes:
+      entries: Addresses of entries; each send goes to one at random.
+      cause_ends: Phase at whose start the cause of the overload has ended;
+        recovery time counts from there.
+      baseline: Phase that shows the goodput before the overload.
+    """
+
+    entries: Annotated[list[Url], pydantic.Field(min_length=1)]
+    kinds: Annotated[list[KindLoad], pydantic.Field(min_length=1)]
+    phases: Annotated[list[Phase], pydantic.Field(min_length=1)]
+    resend: Resend = Resend()
+    seed: int = 0
+    cause_ends: str = ""
+    baseline: str = ""
+
+    @pydantic.model_validator(mode="after")
+    def _check_phase_names(self):
+        names = {phase.name for phase in self.phases}
+        if len(names) != len(self.phases):
+            raise ValueError("two phases have the same name")
+        for name in (self.cause_ends, self.baseline):
+            if name and name not in names:
+                raise ValueError(f"no phase is named {name!r}")
+        return self
+
+    def phase_start_s(self, name: str) -> float:
+        """Returns the start of a phase, from the start of the plan."""
+        start_s = 0.0
+        for phase in self.phases:
+            if phase.name == name:
+                return start_s
+            start_s += phase.duration_s
+        raise KeyError(name)
+
+
+def load(path: pathlib.Path) -> Plan:
+    """Reads a plan.
+
+    Raises:
+      ValueError: It is not JSON, or a field is not allowed.
+    """
+    return Plan.model_validate(json5.loads(path.read_text(encoding="utf-8")))
--- /dev/null
+++ b/mimosahaven/loadresult.py
@@ -0,0 +1,222 @@
+"""Result of a load experiment: counts, latencies and recovery time."""
+
+import collections
+import dataclasses
+
+import hdrh.histogram
+
+from mimosahaven import load
+from mimosahaven import loadplan
+
+LATENCY_MAX_US = 600_000_000
+SIGNIFICANT_DIGITS = 3
+PERCENTILES = (50, 90, 99, 99.9)
+# Goodput counts as recovered at this share of its earlier value.
+RECOVERED_SHARE = 0.95
+# A window holds enough requests that one failure is not an outage; the step
+# bounds the resolution of the recovery time.
+WINDOW_S = 1.0
+STEP_S = 0.1
+
+
+class Latencies:
+    """Histogram of latencies from the intended send time."""
+
+    def __init__(self):
+        self._histogram = hdrh.histogram.HdrHistogram(
+            1, LATENCY_MAX_US, SIGNIFICANT_DIGITS
+        )
+
+    def add(self, latency_s: float) -> None:
+        """Adds a latency in seconds."""
+        self._histogram.record_value(max(1, int(latency_s * 1e6)))
+
+    def as_dict(self) -> dict:
+        """Returns the percentiles in milliseconds."""
+        return {
+            f"p{percentile:g}_ms": self._histogram.get_value_at_percentile(
+                percentile
+            )
+            / 1000
+            for percentile in PERCENTILES
+        }
+
+
+@dataclasses.dataclass
+class Counts:
+    """Whole requests of one kind in one stretch of time."""
+
+    offered: int = 0
+    succeeded: int = 0
+    failed: int = 0
+    refused: int = 0
+    retried: int = 0
+    sends: int = 0
+
+    def add(self, request: load.Request) -> None:
+        """Adds a request."""
+        self.offered += 1
+        outcome = request.outcome
+        setattr(self, outcome, getattr(self, outcome) + 1)
+        self.retried += len(request.sends) > 1
+        self.sends += len(request.sends)
+
+
+def count_by(requests: list[load.Request], key) -> dict:
+    """Returns the counts of requests, grouped by a function of them."""
+    groups: dict = collections.defaultdict(Counts)
+    for request in requests:
+        groups[key(request)].add(request)
+    return dict(groups)
+
+
+def between(
+    requests: list[load.Request], start_s: float, end_s: float
+) -> list[load.Request]:
+    """Returns the requests that were due in a stretch of time."""
+    return [r for r in requests if start_s <= r.intended_s < end_s]
+
+
+def success_share(requests: list[load.Request]) -> float:
+    """Returns the share of requests that succeeded; 1 when there are none."""
+    if not requests:
+        return 1.0
+    return sum(r.outcome == "succeeded" for r in requests) / len(requests)
+
+
+def recovery_s(
+    requests: list[load.Request],
+    baseline_share: float,
+    cause_end_s: float,
+    end_s: float,
+) -> float | None:
+    """Returns how long goodput took to come back and stay.
+
+    Goodput is taken as the share of due requests that succeed, so that the
+    chance in the number of arrivals does not count as loss of goodput.
+
+    Args:
+      requests: All requests.
+      baseline_share: Share that succeeded before the overload.
+      cause_end_s: Time at which its cause ended.
+      end_s: Time of the last request.
+
+    Returns:
+      Seconds to the first window from which on every window is back at 95%
+      of the share before, or None when the last window is not.
+    """
+    recovered_s = None
+    start_s = cause_end_s
+    while start_s + WINDOW_S <= end_s + STEP_S / 2:
+        window = between(requests, start_s, start_s + WINDOW_S)
+        if success_share(window) < RECOVERED_SHARE * baseline_share:
+            recovered_s = None
+        elif recovered_s is None:
+            recovered_s = start_s - cause_end_s
+        start_s += STEP_S
+    return recovered_s
+
+
+def _latencies(requests: list[load.Request]) -> dict:
+    latencies = Latencies()
+    for request in requests:
+        if request.outcome == "succeeded":
+            latencies.add(request.end_s - request.intended_s)
+    return latencies.as_dict()
+
+
+def _group(requests: list[load.Request], duration_s: float) -> dict:
+    counts = Counts()
+    for request in requests:
+        counts.add(request)
+    important = [r for r in requests if r.kind.important]
+    return {
+        **dataclasses.asdict(counts),
+        "goodput_per_s": counts.succeeded / duration_s,
+        "important_success_share": (
+            success_share(important) if important else None
+        ),
+        "latency": _latencies(requests),
+    }
+
+
+def completed_per_s(
+    requests: list[load.Request], start_s: float, end_s: float
+) -> float:
+    """Returns the requests that succeeded within a stretch, each second."""
+    done = sum(
+        r.outcome == "succeeded" and start_s <= r.end_s < end_s
+        for r in requests
+    )
+    return done / (end_s - start_s)
+
+
+def _phases(plan: loadplan.Plan, requests: list[load.Request]) -> dict:
+    result = {}
+    start_s = 0.0
+    for phase in plan.phases:
+        end_s = start_s + phase.duration_s
+        due = between(requests, start_s, end_s)
+        result[phase.name] = {
+            "start_s": start_s,
+            "offered_per_s": phase.rate_per_s,
+            **_group(due, phase.duration_s),
+            "completed_per_s": completed_per_s(requests, start_s, end_s),
+            "kinds": {
+                name: dataclasses.asdict(counts)
+                for name, counts in count_by(due, lambda r: r.kind.kind).items()
+            },
+        }
+        start_s = end_s
+    return result
+
+
+def _recovery(plan: loadplan.Plan, requests: list[load.Request]) -> dict:
+    if not (plan.cause_ends and plan.baseline):
+        return {}
+    start_s = plan.phase_start_s(plan.baseline)
+    length_s = next(
+        p.duration_s for p in plan.phases if p.name == plan.baseline
+    )
+    share = success_share(between(requests, start_s, start_s + length_s))
+    return {
+        "baseline_success_share": share,
+        "recovery_s": recovery_s(
+            requests,
+            share,
+            plan.phase_start_s(plan.cause_ends),
+            sum(phase.duration_s for phase in plan.phases),
+        ),
+    }
+
+
+def summarize(plan: loadplan.Plan, requests: list[load.Request]) -> dict:
+    """Returns the result of an experiment as JSON types."""
+    kinds = {}
+    for kind in plan.kinds:
+        own = [r for r in requests if r.kind is kind]
+        counts = count_by(own, lambda r: r.kind.kind).get(kind.kind, Counts())
+        kinds[f"{kind.caller}/{kind.kind}"] = {
+            **dataclasses.asdict(counts),
+            "latency": _latencies(own),
+        }
+    seconds = count_by(requests, lambda r: (int(r.intended_s), r.kind.kind))
+    lag = Latencies()
+    for request in requests:
+        lag.add(request.sent_s - request.intended_s)
+    return {
+        "seed": plan.seed,
+        "kinds": kinds,
+        "phases": _phases(plan, requests),
+        "per_second": [
+            {"second": second, "kind": kind, **dataclasses.asdict(counts)}
+            for (second, kind), counts in sorted(seconds.items())
+        ],
+        "codes": collections.Counter(
+            str(send.code or send.error or send.status)
+            for request in requests
+            for send in request.sends
+        ),
+        "generator_lag": lag.as_dict(),
+        **_recovery(plan, requests),
+    }
