--- a/mimosahaven/load.py
+++ b/mimosahaven/load.py
@@ -103,6 +103,7 @@
 
     Attributes:
       requests: All requests, in the order of their intended time.
+      start_s: Start of the plan on the machine's monotonic clock.
     """
 
     def __init__(self, plan: loadplan.Plan, session: aiohttp.ClientSession):
@@ -119,7 +120,7 @@
         self._ids = ActionIds(session)
         self._tasks: set[asyncio.Task] = set()
         self._sequence = itertools.count(1)
-        self._start_s = 0.0
+        self.start_s = 0.0
 
     async def run(self) -> list[Request]:
         """Sends all requests and waits for the last answer.
@@ -127,7 +128,7 @@
         Raises:
           ExceptionGroup: A document of a phase could not be sent.
         """
-        self._start_s = asyncio.get_running_loop().time()
+        self.start_s = asyncio.get_running_loop().time()
         begin_s = 0.0
         async with asyncio.TaskGroup() as group:
             for phase in self._plan.phases:
@@ -139,7 +140,7 @@
         return self.requests
 
     def _now_s(self) -> float:
-        return asyncio.get_running_loop().time() - self._start_s
+        return asyncio.get_running_loop().time() - self.start_s
 
     async def _put(self, put: loadplan.Put) -> None:
         async with self._session.put(put.url, json=put.body) as response:
--- /dev/null
+++ b/mimosahaven/testing/demo.py
@@ -0,0 +1,98 @@
+"""Demo: real calls through both deployments, checked against the runs."""
+
+import asyncio
+import signal
+import sys
+
+import rich.console
+import rich.table
+
+from mimosahaven import loadplan
+from mimosahaven.testing import deployments
+from mimosahaven.testing import experiment
+from mimosahaven.testing import invariants
+from mimosahaven.testing import runner as runner_lib
+
+SEED = 1
+SLOTS_FACTOR = 0.12
+SERVICE_TIME_FACTOR = 2.0
+DURATIONS = experiment.Durations(2.0, 2.0, 3.0, 2.0, 4.0)
+RESEND = loadplan.Resend(timeout_ms=1_500, resends=1)
+VIOLATIONS_SHOWN = 5
+CONSOLE_WIDTH = 110
+COLUMNS = ("offered", "succeeded", "failed", "refused", "retried")
+
+
+async def run_deployment(
+    deployment: deployments.Deployment,
+) -> experiment.Outcome:
+    """Starts a deployment, sends the load and ends it again."""
+    small = deployment.scaled(
+        slots=SLOTS_FACTOR, service_time=SERVICE_TIME_FACTOR
+    )
+    async with runner_lib.Runner(small, seed=SEED) as runner:
+        plan = experiment.make_plan(runner, DURATIONS, RESEND, SEED)
+        return await experiment.carry_out(runner, plan)
+
+
+def make_table(outcomes: dict[str, experiment.Outcome]) -> rich.table.Table:
+    """Returns the table of whole requests."""
+    table = rich.table.Table(title="Complete requests")
+    table.add_column("deployment")
+    table.add_column("caller/kind")
+    for column in (*COLUMNS, "p50 ms", "p99 ms"):
+        table.add_column(column, justify="right")
+    for name, outcome in outcomes.items():
+        for kind, counts in outcome.result["kinds"].items():
+            latency = counts["latency"]
+            table.add_row(
+                name,
+                kind,
+                *(str(counts[column]) for column in COLUMNS),
+                f"{latency['p50_ms']:.0f}",
+                f"{latency['p99_ms']:.0f}",
+            )
+    return table
+
+
+def find_faults(outcomes: dict[str, experiment.Outcome]) -> list[str]:
+    """Returns the invariants that broke and the kinds that never worked."""
+    faults = []
+    for name, outcome in outcomes.items():
+        for violation in outcome.violations[:VIOLATIONS_SHOWN]:
+            faults.append(
+                f"{name}: {violation.name}: {violation.action_id}: "
+                f"{violation.detail}"
+            )
+        for kind, counts in outcome.result["kinds"].items():
+            if not counts["succeeded"]:
+                faults.append(f"{name}: no {kind} request succeeded")
+    return faults
+
+
+async def run() -> int:
+    """Runs the demo and returns the exit code."""
+    # Without this SIGTERM would end the demo and leave the processes.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel
+    )
+    console = rich.console.Console(width=CONSOLE_WIDTH)
+    outcomes = {}
+    for deployment in (deployments.SKOVGAARD, deployments.UMURAGE):
+        console.print(f"{deployment.name}: surge, slow service, recovery")
+        outcomes[deployment.name] = await run_deployment(deployment)
+    console.print(make_table(outcomes))
+    for invariant in invariants.NAMES:
+        count = sum(
+            invariants.counts(o.violations)[invariant]
+            for o in outcomes.values()
+        )
+        console.print(f"{invariant}: {'holds' if not count else count}")
+    faults = find_faults(outcomes)
+    for fault in faults:
+        console.print(f"[red]{fault}[/red]", highlight=False)
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run()))
--- a/mimosahaven/testing/deployments.py
+++ b/mimosahaven/testing/deployments.py
@@ -25,6 +25,8 @@
     "routing": {"algorithm": "round_robin"},
     "admission": {"algorithm": "fixed"},
 }
+# Spread of the log-normal service times; its mean is above its median.
+SERVICE_TIME_SIGMA = 0.3
 VARIANTS: dict[str, dict] = {"full": {}, "naive": NAIVE_SETTINGS}
 
 
@@ -92,12 +94,16 @@
     address_prefix: str
     important_weight: int = 50
 
-    def scaled(self, slots: float, targets: float = 1.0) -> "Deployment":
-        """Returns the deployment with fewer slots and targets.
+    def scaled(
+        self, slots: float, targets: float = 1.0, service_time: float = 1.0
+    ) -> "Deployment":
+        """Returns the deployment at another size.
 
         Args:
           slots: Factor for the slots and connections of each target.
           targets: Factor for the number of targets of each service.
+          service_time: Factor for the service times. Fewer slots that are
+            held longer keep the ratios at a rate that one machine can take.
         """
         return dataclasses.replace(
             self,
@@ -107,6 +113,7 @@
                     targets=max(1, round(service.targets * targets)),
                     slots=max(1, math.ceil(service.slots * slots)),
                     connections=max(8, round(service.connections * slots)),
+                    service_ms=service.service_ms * service_time,
                 )
                 for service in self.services
             ),
@@ -119,7 +126,8 @@
     def capacity_per_s(self) -> float:
         """Calls a second that the slots of the deepest service can take."""
         deepest = self.service(self.deepest)
-        return deepest.targets * deepest.slots * 1000 / deepest.service_ms
+        mean_ms = deepest.service_ms * math.exp(SERVICE_TIME_SIGMA**2 / 2)
+        return deepest.targets * deepest.slots * 1000 / mean_ms
 
     def table(self, version: int = 1) -> dict:
         """Returns the operators' table."""
@@ -169,11 +177,12 @@
         Service("proof", 3, 100, 720, 10),
         Service("presse", 3, 25, 250, 40),
     ),
+    # The important kinds stay below the capacity at three times the load.
     kinds=(
-        Kind("family", "browse", "GET", "katalog", "/browse", 10, True, 0.70),
-        Kind("shop", "order", "POST", "ordre", "/order", 90, False, 0.20),
+        Kind("family", "browse", "GET", "katalog", "/browse", 10, True, 0.80),
+        Kind("shop", "order", "POST", "ordre", "/order", 90, False, 0.13),
         Kind(
-            "undertaker", "cancel", "POST", "ordre", "/cancel", 85, False, 0.10
+            "undertaker", "cancel", "POST", "ordre", "/cancel", 85, False, 0.07
         ),
     ),
     deepest="presse",
@@ -192,13 +201,13 @@
     ),
     kinds=(
         Kind(
-            "tourist", "browse", "GET", "catalogue", "/browse", 10, True, 0.60
+            "tourist", "browse", "GET", "catalogue", "/browse", 10, True, 0.70
         ),
         Kind(
             "stylist", "upload", "POST", "fittings", "/upload", 30, True, 0.10
         ),
         Kind(
-            "bride", "reserve", "POST", "fittings", "/reserve", 80, False, 0.15
+            "bride", "reserve", "POST", "fittings", "/reserve", 80, False, 0.10
         ),
         Kind(
             "stylist",
@@ -208,7 +217,7 @@
             "/deposit",
             90,
             False,
-            0.15,
+            0.10,
         ),
     ),
     deepest="reservations",
--- /dev/null
+++ b/mimosahaven/testing/experiment.py
@@ -0,0 +1,135 @@
+"""One load experiment on a deployment: plan, run, result and checks."""
+
+import dataclasses
+
+from mimosahaven import load
+from mimosahaven import loadplan
+from mimosahaven import loadresult
+from mimosahaven.testing import deployments
+from mimosahaven.testing import invariants
+from mimosahaven.testing import processes
+from mimosahaven.testing import runner as runner_lib
+
+# Shares of the capacity that are offered before and after the overload, and
+# during it.
+CALM_SHARE = 0.7
+SURGE_SHARE = 3.0
+SLOW_FACTOR = 10.0
+WARM_UP = "warm-up"
+CALM = "calm"
+SURGE = "surge"
+SLOW = "slow service"
+RECOVERY = "recovery"
+
+
+@dataclasses.dataclass(frozen=True)
+class Durations:
+    """Seconds of each phase."""
+
+    warm_up_s: float
+    calm_s: float
+    surge_s: float
+    slow_s: float
+    recovery_s: float
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What an experiment gave.
+
+    Attributes:
+      result: Result of `loadresult.summarize`.
+      violations: Invariants that did not hold.
+    """
+
+    result: dict
+    violations: list[invariants.Violation]
+
+
+def kind_loads(
+    deployment: deployments.Deployment,
+) -> list[loadplan.KindLoad]:
+    """Returns the kinds of requests for a plan."""
+    return [
+        loadplan.KindLoad(
+            caller=kind.caller,
+            kind=kind.name,
+            method=kind.method,
+            path=kind.url_path,
+            share=kind.share,
+            idempotent=kind.idempotent,
+            important=kind.weight >= deployment.important_weight,
+        )
+        for kind in deployment.kinds
+    ]
+
+
+def make_plan(
+    runner: runner_lib.Runner,
+    durations: Durations,
+    resend: loadplan.Resend,
+    seed: int,
+) -> loadplan.Plan:
+    """Returns the plan: a surge, a slow deepest service, recovery."""
+    deployment = runner.deployment
+    capacity_per_s = deployment.capacity_per_s()
+
+    def phase(name: str, duration_s: float, share: float, factor: float):
+        return loadplan.Phase(
+            name=name,
+            duration_s=duration_s,
+            rate_per_s=share * capacity_per_s,
+            puts=[
+                loadplan.Put(
+                    url=f"{node.target_url}/-/control",
+                    body={"service_factor": factor},
+                )
+                for node in runner.nodes_of(deployment.deepest)
+            ],
+        )
+
+    return loadplan.Plan(
+        entries=[node.entry_url for node in runner.nodes],
+        kinds=kind_loads(deployment),
+        phases=[
+            phase(WARM_UP, durations.warm_up_s, CALM_SHARE, 1),
+            phase(CALM, durations.calm_s, CALM_SHARE, 1),
+            phase(SURGE, durations.surge_s, SURGE_SHARE, 1),
+            phase(SLOW, durations.slow_s, SURGE_SHARE, SLOW_FACTOR),
+            phase(RECOVERY, durations.recovery_s, CALM_SHARE, 1),
+        ],
+        resend=resend,
+        seed=seed,
+        baseline=CALM,
+        cause_ends=RECOVERY,
+    )
+
+
+async def wait_until_idle(runner: runner_lib.Runner) -> None:
+    """Waits until no target runs a call, so that the record is complete."""
+
+    async def idle() -> bool:
+        for node in runner.nodes:
+            report = await processes.get_json(
+                runner.session, f"{node.target_url}/-/runs?after=1000000000"
+            )
+            if report is None or report["concurrent"]:
+                return False
+        return True
+
+    await processes.wait_for(idle, what="targets idle")
+
+
+async def carry_out(runner: runner_lib.Runner, plan: loadplan.Plan) -> Outcome:
+    """Carries out a plan on a started deployment and checks it."""
+    async with load.make_session() as session:
+        generator = load.LoadGenerator(plan, session)
+        requests = await generator.run()
+    await wait_until_idle(runner)
+    seen = invariants.Observations(
+        runner.deployment,
+        requests,
+        runner.runs(),
+        generator.start_s * 1000,
+    )
+    return Outcome(loadresult.summarize(plan, requests), invariants.check(seen))
--- a/mimosahaven/testing/targetcore.py
+++ b/mimosahaven/testing/targetcore.py
@@ -13,9 +13,9 @@
 
 from mimosahaven import clock
 from mimosahaven.testing import callgraph
+from mimosahaven.testing import deployments
 from mimosahaven.testing import runs as runs_lib
 
-SERVICE_TIME_SIGMA = 0.3
 # A cold target starts at this multiple of its service time.
 COLD_FACTOR = 4.0
 CRASH_EXIT_CODE = 70
@@ -133,7 +133,9 @@
     def service_time_s(self) -> float:
         """Returns the service time of the next run."""
         median_ms = self._options["service_ms"] * self.control.service_factor
-        time_ms = median_ms * math.exp(self._rng.gauss(0.0, SERVICE_TIME_SIGMA))
+        time_ms = median_ms * math.exp(
+            self._rng.gauss(0.0, deployments.SERVICE_TIME_SIGMA)
+        )
         cold_ms = self._options["cold_start_ms"]
         age_ms = clock.monotonic_ms() - self._started_ms
         if age_ms < cold_ms:
