Add the order rules and all faults of tables

Cause: a change to the table must be in force once accepted and never revert, and an operator must see all faults of a table at once. Rows are now found by dictionary look-up, values are checked strictly (no "90" for 90, no NaN or Infinity), and TableStore keeps what it refused as faults until a newer table settles them. Excluded: reporting older tables that late gossip brings, which is normal; only the platform's are reported.

--- a/mimosahaven/messages.py
+++ b/mimosahaven/messages.py
@@ -184,6 +184,25 @@
     fingerprint: str
 
 
+class TableFault(msgspec.Struct, array_like=True, frozen=True):
+    """A table that was refused.
+
+    Attributes:
+      code: TABLE_INVALID, TABLE_CONFLICT or TABLE_OLDER.
+      version: Version of the refused table, 0 when it cannot be told.
+      text_hash: Hash of its text.
+      against: Version in force when it was refused; a newer table settles
+        the fault.
+      detail: The faults in one line.
+    """
+
+    code: int
+    version: int
+    text_hash: str
+    against: int
+    detail: str
+
+
 class Digest(Message, tag=13):
     """Gossip digest.
 
@@ -197,6 +216,7 @@
       surplus: Tokens left over, by row id.
       reports: Recent reports about others.
       strikes: Recent strikes.
+      table_faults: Refused tables that every daemon shall report.
       reply_wanted: True when the receiver shall answer with its digest.
     """
 
@@ -208,6 +228,7 @@
     surplus: dict[str, float] = {}
     reports: list[SelfReport] = []
     strikes: list[Strike] = []
+    table_faults: list[TableFault] = []
     reply_wanted: bool = False
 
 
--- a/mimosahaven/table.py
+++ b/mimosahaven/table.py
@@ -1,26 +1,38 @@
 """The operators' table of callers and request kinds."""
 
+import dataclasses
 import hashlib
 from typing import Annotated
+from typing import Any
 
-import json5
 import pydantic
 
 from mimosahaven import codes
 from mimosahaven import errors
+from mimosahaven import messages
+from mimosahaven import tabletext
 
 ANY = "*"
+PLATFORM = "platform"
+RATE_LIMIT_MAX_PER_S = 1_000_000
+FAULTS_MAX = 4
+FAULT_DETAIL_CHARS = 200
+FAULT_VALUE_CHARS = 60
+
+Code = codes.Code
 
 
 class TableError(errors.MimosahavenError):
     """One fault of a table."""
 
     def __init__(self, detail: str):
-        super().__init__(codes.Code.TABLE_INVALID, detail)
+        super().__init__(Code.TABLE_INVALID, detail)
 
 
 class _Part(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, strict=True, allow_inf_nan=False
+    )
 
 
 class Row(_Part):
@@ -32,7 +44,9 @@
     idempotent: bool
     deadline_ms: Annotated[float, pydantic.Field(gt=0, le=600_000)]
     retry_budget: Annotated[int, pydantic.Field(ge=0, le=16)] = 0
-    rate_limit_per_s: Annotated[float, pydantic.Field(gt=0)] | None = None
+    rate_limit_per_s: (
+        Annotated[float, pydantic.Field(gt=0, le=RATE_LIMIT_MAX_PER_S)] | None
+    ) = None
 
     @property
     def row_id(self) -> str:
@@ -53,14 +67,25 @@
     important_weight: Annotated[int, pydantic.Field(ge=0, le=100)] = 50
     rows: list[Row]
     services: dict[str, ServiceRow] = {}
+    _index: dict[tuple[str, str], Row] = pydantic.PrivateAttr(
+        default_factory=dict
+    )
+
+    def model_post_init(self, context: Any, /) -> None:
+        """Indexes the rows by caller and kind."""
+        super().model_post_init(context)
+        for row in self.rows:
+            self._index.setdefault((row.caller, row.kind), row)
 
     def row_for(self, caller: str, kind: str) -> Row | None:
         """Returns the most specific row: the caller's name goes first."""
-        for key in ((caller, kind), (caller, ANY), (ANY, kind), (ANY, ANY)):
-            for row in self.rows:
-                if (row.caller, row.kind) == key:
-                    return row
-        return None
+        find = self._index.get
+        return (
+            find((caller, kind))
+            or find((caller, ANY))
+            or find((ANY, kind))
+            or find((ANY, ANY))
+        )
 
 
 def text_hash(text: str) -> str:
@@ -75,16 +100,177 @@
       ExceptionGroup: Of TableError, one for each fault.
     """
     try:
-        raw = json5.loads(text)
+        raw = tabletext.load(text)
     except ValueError as error:
         raise ExceptionGroup("table", [TableError(str(error))]) from error
+    faults: list[TableError] = []
+    table = None
     try:
-        return Table.model_validate(raw)
+        table = Table.model_validate(raw)
     except pydantic.ValidationError as error:
-        faults = [
-            TableError(
-                f"{'.'.join(map(str, f['loc']))}: {f['input']!r}: {f['msg']}"
+        for fault in error.errors():
+            field = ".".join(map(str, fault["loc"])) or "(document)"
+            value = tabletext.shortened(repr(fault["input"]), FAULT_VALUE_CHARS)
+            faults.append(TableError(f"{field}: {value}: {fault['msg']}"))
+    faults += [TableError(detail) for detail in tabletext.rule_faults(raw)]
+    if faults:
+        raise ExceptionGroup("table", faults)
+    return table
+
+
+@dataclasses.dataclass(frozen=True)
+class TableChange:
+    """What became of an offered table.
+
+    Attributes:
+      accepted: True when the table is now in force and was not before.
+      code: Why it was refused; None when accepted or already in force.
+      faults: One line for each fault.
+    """
+
+    accepted: bool
+    code: Code | None = None
+    faults: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class ReportedFault:
+    """A fault for the status of the daemon.
+
+    Attributes:
+      fault: The fault, as gossip carries it.
+      source: Where the faulty table, or the report of it, came from.
+      first_ms: When this daemon learned of it.
+    """
+
+    fault: messages.TableFault
+    source: str
+    first_ms: float
+
+
+class TableStore:
+    """The table in force and the faults of tables that were refused.
+
+    Args:
+      ordered: False switches the order rules off: any valid table replaces
+        the one in force.
+    """
+
+    def __init__(self, ordered: bool = True):
+        self.table: Table | None = None
+        self.text = ""
+        self.hash = ""
+        self.source = ""
+        self.since_ms = 0.0
+        self._ordered = ordered
+        self._faults: dict[tuple[int, int, str], ReportedFault] = {}
+
+    @property
+    def version(self) -> int:
+        """Version of the table in force, 0 for none."""
+        return self.table.version if self.table else 0
+
+    @property
+    def faults(self) -> list[ReportedFault]:
+        """Faults that no newer table has settled, the oldest first."""
+        return list(self._faults.values())
+
+    def offer(self, text: str, source: str, now_ms: float) -> TableChange:
+        """Puts a table in force if it is valid and newer.
+
+        Args:
+          text: Text of the table.
+          source: PLATFORM or the name of the peer that sent it.
+          now_ms: Present time.
+        """
+        offered_hash = text_hash(text)
+        if self.table and offered_hash == self.hash:
+            return TableChange(accepted=False)
+        try:
+            table = parse_table(text)
+        except ExceptionGroup as group:
+            details = tuple(error.detail for error in group.exceptions)
+            return self._refuse(
+                Code.TABLE_INVALID, 0, offered_hash, details, source, now_ms
+            )
+        code = self._order_fault(table.version)
+        if code:
+            detail = f"version {table.version}; {self.version} is in force"
+            return self._refuse(
+                code, table.version, offered_hash, (detail,), source, now_ms
+            )
+        self.table, self.text, self.hash = table, text, offered_hash
+        self.source, self.since_ms = source, now_ms
+        self._drop_settled_faults()
+        return TableChange(accepted=True)
+
+    def observe(
+        self, version: int, peer_hash: str, source: str, now_ms: float
+    ) -> None:
+        """Reports a peer that has the same version with another text."""
+        if self.table and version == self.version and peer_hash != self.hash:
+            detail = f"version {version} has another text at {source}"
+            self._refuse(
+                Code.TABLE_CONFLICT,
+                version,
+                peer_hash,
+                (detail,),
+                source,
+                now_ms,
             )
-            for f in error.errors()
+
+    def take_fault(
+        self, fault: messages.TableFault, source: str, now_ms: float
+    ) -> None:
+        """Takes in a fault that a peer reports."""
+        if fault.against >= self.version:
+            self._keep(ReportedFault(fault, source, now_ms))
+
+    def faults_to_spread(self) -> list[messages.TableFault]:
+        """Returns the faults that every daemon shall report.
+
+        An older table concerns only the daemon that read it.
+        """
+        return [
+            reported.fault
+            for reported in self._faults.values()
+            if reported.fault.code != Code.TABLE_OLDER
         ]
-        raise ExceptionGroup("table", faults) from error
+
+    def _order_fault(self, version: int) -> Code | None:
+        if not self._ordered or version > self.version:
+            return None
+        older = version < self.version
+        return Code.TABLE_OLDER if older else Code.TABLE_CONFLICT
+
+    def _refuse(
+        self,
+        code: Code,
+        version: int,
+        offered_hash: str,
+        details: tuple[str, ...],
+        source: str,
+        now_ms: float,
+    ) -> TableChange:
+        # Late gossip brings older tables in normal operation; from the
+        # platform they are a sign of staleness or of an operator's mistake.
+        if code is not Code.TABLE_OLDER or source == PLATFORM:
+            detail = tabletext.shortened("; ".join(details), FAULT_DETAIL_CHARS)
+            fault = messages.TableFault(
+                int(code), version, offered_hash, self.version, detail
+            )
+            self._keep(ReportedFault(fault, source, now_ms))
+        return TableChange(False, code, details)
+
+    def _keep(self, reported: ReportedFault) -> None:
+        fault = reported.fault
+        key = (fault.code, fault.version, fault.text_hash)
+        if len(self._faults) < FAULTS_MAX:
+            self._faults.setdefault(key, reported)
+
+    def _drop_settled_faults(self) -> None:
+        self._faults = {
+            key: reported
+            for key, reported in self._faults.items()
+            if reported.fault.against >= self.version
+        }
