Add the table command

Cause: operators need to check, show, compare and explain a table before they publish it. diff says when a new table would be refused because its version is not higher. Exit codes: 0 in order, 1 tables differ or no row applies, 2 unusable. Excluded: reading the table from the platform; the command takes files. Conclusion: each fault is one line that names the place and what is allowed.

--- /dev/null
+++ b/mimosahaven/cli_table.py
@@ -0,0 +1,254 @@
+"""Command for operators: checks, shows and compares tables."""
+
+import pathlib
+import sys
+
+import click
+import rich.box
+import rich.console
+import rich.table
+
+from mimosahaven import table as table_lib
+
+EXIT_DIFFERENT = 1
+EXIT_UNUSABLE = 2
+
+_TABLE_FILE = click.Path(path_type=pathlib.Path, dir_okay=False)
+
+
+def _load(path: pathlib.Path) -> table_lib.Table:
+    """Reads a table; prints its faults and exits when it has any."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or "is not UTF-8 text"
+        _fail([f"{path}: {reason}; give the path of a readable table"])
+    try:
+        return table_lib.parse_table(text)
+    except ExceptionGroup as group:
+        lines = [f"{path}: {error.detail}" for error in group.exceptions]
+        _fail([*lines, f"{path}: {len(lines)} to correct, then check again"])
+
+
+def _fail(lines: list[str]) -> None:
+    for line in lines:
+        click.echo(line, err=True)
+    sys.exit(EXIT_UNUSABLE)
+
+
+def _show(title: str, columns: list[str], lines: list[list[str]]) -> None:
+    view = rich.table.Table(
+        title=title, box=rich.box.SIMPLE, title_justify="left"
+    )
+    for column in columns:
+        view.add_column(column, overflow="fold")
+    for line in lines:
+        view.add_row(*line)
+    rich.console.Console(markup=False, highlight=False).print(view)
+
+
+def _limit(row: table_lib.Row) -> str:
+    limit = row.rate_limit_per_s
+    return "none" if limit is None else f"{limit:g}"
+
+
+def _shed_order(table: table_lib.Table) -> list[table_lib.Row]:
+    return sorted(table.rows, key=lambda row: (row.weight, row.row_id))
+
+
+def _warnings(table: table_lib.Table) -> list[str]:
+    warnings = []
+    highest = max(row.weight for row in table.rows)
+    if highest < table.important_weight:
+        warnings.append(
+            f"important_weight {table.important_weight}: no row reaches it,"
+            f" the highest weight is {highest}; no slots are reserved"
+        )
+    if table.row_for(table_lib.ANY, table_lib.ANY) is None:
+        warnings.append(
+            "no row for */*: callers and kinds without a row are refused"
+        )
+    return warnings
+
+
+@click.group()
+def main() -> None:
+    """Checks, shows and compares tables of callers and request kinds.
+
+    Exit codes: 0 in order, 1 the tables differ (diff) or no row applies
+    (explain), 2 a table cannot be used.
+
+    Example: mimosahaven-table check table.json5
+    """
+
+
+@main.command()
+@click.argument("file", type=_TABLE_FILE)
+def check(file: pathlib.Path) -> None:
+    """Checks a table and lists all its faults.
+
+    Example: mimosahaven-table check table.json5
+    """
+    table = _load(file)
+    for warning in _warnings(table):
+        click.echo(f"{file}: warning: {warning}", err=True)
+    click.echo(f"{file}: version {table.version}, {len(table.rows)} rows, ok")
+
+
+@main.command()
+@click.argument("file", type=_TABLE_FILE)
+def show(file: pathlib.Path) -> None:
+    """Shows the rows of a table, the first to be shed at the top.
+
+    Example: mimosahaven-table show table.json5
+    """
+    table = _load(file)
+    lines = [
+        [
+            row.row_id,
+            str(row.weight),
+            "yes" if row.idempotent else "no",
+            f"{row.deadline_ms:g}",
+            str(row.retry_budget),
+            _limit(row),
+        ]
+        for row in _shed_order(table)
+    ]
+    _show(
+        f"Table {table.version}, important from"
+        f" weight {table.important_weight}",
+        [
+            "caller/kind",
+            "weight",
+            "idempotent",
+            "deadline ms",
+            "retries",
+            "limit/s",
+        ],
+        lines,
+    )
+    for name, service in sorted(table.services.items()):
+        statuses = ", ".join(map(str, service.not_run_statuses)) or "none"
+        click.echo(f"service {name}: not-run statuses: {statuses}")
+
+
+@main.command()
+@click.argument("old", type=_TABLE_FILE)
+@click.argument("new", type=_TABLE_FILE)
+def diff(old: pathlib.Path, new: pathlib.Path) -> None:
+    """Compares two tables and says whether NEW would replace OLD.
+
+    Example: mimosahaven-table diff current.json5 next.json5
+    """
+    before, after = _load(old), _load(new)
+    lines = _differences(before, after)
+    if not lines:
+        click.echo("no difference")
+        return
+    _show(
+        f"Table {before.version} to {after.version}",
+        ["what", "field", "before", "after"],
+        lines,
+    )
+    if after.version <= before.version:
+        _fail(
+            [
+                f"{new}: version {after.version} would be refused; set it"
+                f" above {before.version}"
+            ]
+        )
+    sys.exit(EXIT_DIFFERENT)
+
+
+def _differences(
+    before: table_lib.Table, after: table_lib.Table
+) -> list[list[str]]:
+    old, new = _parts(before), _parts(after)
+    lines = []
+    for name in sorted(old.keys() | new.keys()):
+        if name not in new:
+            lines.append([name, "", "present", "absent"])
+        elif name not in old:
+            lines.append([name, "", "absent", "present"])
+        else:
+            lines += [
+                [name, field, str(value), str(new[name][field])]
+                for field, value in old[name].items()
+                if new[name][field] != value
+            ]
+    return lines
+
+
+def _parts(table: table_lib.Table) -> dict[str, dict[str, object]]:
+    """Returns the table as comparable parts: rows, services, the head."""
+    head = {
+        "version": table.version,
+        "important_weight": table.important_weight,
+    }
+    parts = {"table": head}
+    parts |= {f"row {row.row_id}": row.model_dump() for row in table.rows}
+    for name, service in table.services.items():
+        parts[f"service {name}"] = service.model_dump()
+    return parts
+
+
+@main.command()
+@click.argument("file", type=_TABLE_FILE)
+@click.argument("caller")
+@click.argument("kind")
+def explain(file: pathlib.Path, caller: str, kind: str) -> None:
+    """Shows the row that applies to CALLER and KIND and when it is shed.
+
+    Example: mimosahaven-table explain table.json5 stylist deposit
+    """
+    table = _load(file)
+    row = table.row_for(caller, kind)
+    if row is None:
+        click.echo(
+            f"{file}: no row for {caller}/{kind}; its calls are refused;"
+            f" add a row for it or for {caller}/*",
+            err=True,
+        )
+        sys.exit(EXIT_DIFFERENT)
+    important = row.weight >= table.important_weight
+    _show(
+        f"{caller}/{kind}: row {row.row_id} of table {table.version}",
+        ["what", "value"],
+        [
+            [
+                "weight",
+                f"{row.weight} ({'' if important else 'not '}important)",
+            ],
+            [
+                "idempotent",
+                "yes" if row.idempotent else "no: runs at most once",
+            ],
+            ["deadline", f"{row.deadline_ms:g} ms"],
+            ["retry budget", f"{row.retry_budget} over the whole chain"],
+            ["limit", f"{_limit(row)} per s"],
+        ],
+    )
+    _show(
+        "Shed order, the first at the top",
+        ["order", "caller/kind", "weight", "against this row"],
+        _order_lines(table, row),
+    )
+
+
+def _order_lines(table: table_lib.Table, row: table_lib.Row) -> list[list[str]]:
+    weights = sorted({other.weight for other in table.rows})
+    lines = []
+    for other in _shed_order(table):
+        if other is row:
+            relation = "this row"
+        elif other.weight == row.weight:
+            relation = "together, by action id"
+        else:
+            relation = "before" if other.weight < row.weight else "after"
+        order = str(weights.index(other.weight) + 1)
+        lines.append([order, other.row_id, str(other.weight), relation])
+    return lines
+
+
+if __name__ == "__main__":
+    main()
