Overlay the list of VMs with the daemons' own reports

Cause: the platform's list lags, so what a daemon says of itself must count as well, and late or reordered reports must not revive a daemon that is leaving. FleetView now keeps reports by sequence, daemons by failure domain, list version order, the age of the last platform contact, and since when a target is listed and live (share settling, slow start). Incarnations are random, so they have no order of their own. The sequence orders reports across incarnations; a restarted daemon raises its sequence above what it hears of its earlier incarnation. Excluded: ordering by wall clock, which a replaced VM may have wrong. targets() and daemons() return cached lists, so a look-up per call costs a dictionary access.

--- a/mimosahaven/fleet.py
+++ b/mimosahaven/fleet.py
@@ -1,9 +1,30 @@
 """The daemon's view of targets, failure domains and their state."""
 
 import dataclasses
+import ipaddress
 
 import msgspec
 
+from mimosahaven import codes
+from mimosahaven import errors
+from mimosahaven import messages
+
+LIVE = "live"
+STARTING = "starting"
+READY = "ready"
+LEAVING = "leaving"
+PORT_MAX = 65_535
+# A report about a target that is not in the list is forgotten after this
+# time; it must outlive the lag of the list.
+UNLISTED_REPORT_MS = 600_000
+
+
+class ListError(errors.MimosahavenError):
+    """A list of VMs that cannot be used."""
+
+    def __init__(self, detail: str):
+        super().__init__(codes.Code.LIST_INVALID, detail)
+
 
 class Member(msgspec.Struct, frozen=True):
     """One line of the platform's list of VMs."""
@@ -15,7 +36,7 @@
     host: str
     entry_port: int
     link_port: int
-    state: str = "live"
+    state: str = LIVE
 
 
 class MemberList(msgspec.Struct, frozen=True):
@@ -25,26 +46,200 @@
     members: list[Member]
 
 
+def parse_list(text: str) -> MemberList:
+    """Parses and checks the text of a list of VMs.
+
+    Raises:
+      ListError: The text is not a list, or a member cannot be used.
+    """
+    try:
+        listing = msgspec.json.decode(text, type=MemberList)
+    except msgspec.MsgspecError as error:
+        raise ListError(str(error)) from error
+    if listing.version < 1:
+        raise ListError(f"version: {listing.version}: 1 or more is allowed")
+    seen: set[str] = set()
+    for member in listing.members:
+        _check_member(member)
+        if member.target in seen:
+            raise ListError(f"{member.target}: listed twice")
+        seen.add(member.target)
+    return listing
+
+
+def _check_member(member: Member) -> None:
+    try:
+        ipaddress.ip_address(member.host)
+    except ValueError as error:
+        raise ListError(f"{member.target}: {error}") from error
+    for port in (member.entry_port, member.link_port):
+        if not 1 <= port <= PORT_MAX:
+            raise ListError(f"{member.target}: port {port}")
+    if member.state not in (LIVE, LEAVING):
+        raise ListError(f"{member.target}: state {member.state!r}")
+
+
+@dataclasses.dataclass
+class _Known:
+    """What a daemon said of itself.
+
+    Attributes:
+      report: Its newest report.
+      heard_ms: When the report was first heard.
+      replaced: True when the list has since moved the target to another
+        address, so that the report is of a VM that is gone.
+    """
+
+    report: messages.SelfReport
+    heard_ms: float
+    replaced: bool = False
+
+
 @dataclasses.dataclass
 class FleetView:
-    """Targets as the platform's list and the daemons themselves tell."""
+    """Targets as the platform's list and the daemons themselves tell.
+
+    Attributes:
+      members: The platform's list by target name, without the overlay.
+      version: Version of the list, 0 for none.
+      contact_ms: Last known answer of the platform to this daemon or, by
+        gossip, to another with the same list; None for never.
+      revision: Grows with each change of the view.
+    """
 
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
     version: int = 0
+    contact_ms: float | None = None
+    revision: int = 0
+    _known: dict[str, _Known] = dataclasses.field(default_factory=dict)
+    _listed_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    _live_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    _by_service: dict[str, list[Member]] = dataclasses.field(
+        default_factory=dict
+    )
+    _by_domain: dict[str, list[Member]] = dataclasses.field(
+        default_factory=dict
+    )
 
     def apply_list(self, listing: MemberList, now_ms: float) -> bool:
         """Takes in a newer list; returns whether it was newer."""
-        del now_ms
         if listing.version <= self.version:
             return False
+        before = self.members
         self.version = listing.version
         self.members = {member.target: member for member in listing.members}
+        for target, member in self.members.items():
+            old = before.get(target)
+            if old is None:
+                self._listed_ms[target] = now_ms
+            elif (old.host, old.link_port) != (member.host, member.link_port):
+                self._live_ms.pop(target, None)
+                if target in self._known:
+                    self._known[target].replaced = True
+        self._forget_unlisted(now_ms)
+        self._update(now_ms)
+        return True
+
+    def apply_self_report(
+        self, report: messages.SelfReport, now_ms: float
+    ) -> bool:
+        """Takes in what a daemon says of itself; returns whether it is news.
+
+        The higher sequence wins, also between incarnations: a daemon that
+        hears of an earlier incarnation of itself raises its sequence above
+        it. Within one incarnation LEAVING is final whatever the sequence.
+        """
+        known = self._known.get(report.target)
+        if known and not _supersedes(report, known.report):
+            return False
+        same = known and known.report.incarnation == report.incarnation
+        if not same:
+            self._live_ms.pop(report.target, None)
+        replaced = known.replaced if same else False
+        self._known[report.target] = _Known(report, now_ms, replaced)
+        self._update(now_ms)
         return True
 
     def targets(self, service: str) -> list[Member]:
-        """Returns the live targets of a service."""
-        return [
-            m
-            for m in self.members.values()
-            if m.service == service and m.state == "live"
-        ]
+        """Returns the live targets of a service; not to be changed."""
+        return self._by_service.get(service, [])
+
+    def daemons(self, failure_domain: str) -> list[Member]:
+        """Returns the live daemons of a failure domain; not to be changed."""
+        return self._by_domain.get(failure_domain, [])
+
+    def failure_domains(self) -> list[str]:
+        """Returns the failure domains that have live daemons, sorted."""
+        return sorted(self._by_domain)
+
+    def is_leaving(self, target: str) -> bool:
+        """Whether the list or the daemon itself says that it is leaving."""
+        member = self.members.get(target)
+        if member and member.state == LEAVING:
+            return True
+        known = self._known.get(target)
+        return (
+            known is not None
+            and known.report.state == LEAVING
+            and not known.replaced
+        )
+
+    def report_of(self, target: str) -> messages.SelfReport | None:
+        """Returns the newest report of a daemon about itself."""
+        known = self._known.get(target)
+        return known.report if known else None
+
+    def incarnation_of(self, target: str) -> str:
+        """Returns the last known incarnation of a daemon, "" for none."""
+        known = self._known.get(target)
+        return known.report.incarnation if known and not known.replaced else ""
+
+    def listed_since_ms(self, target: str) -> float | None:
+        """Returns when the target came into the list, None if it is not."""
+        return self._listed_ms.get(target)
+
+    def live_since_ms(self, target: str) -> float | None:
+        """Returns since when the target is known to be live, for slow start.
+
+        A new incarnation, another address and a return from LEAVING start
+        this time anew. None when the target is not live.
+        """
+        return self._live_ms.get(target)
+
+    def note_contact(self, contact_ms: float) -> None:
+        """Records an answer of the platform, by this daemon's clock."""
+        if self.contact_ms is None or contact_ms > self.contact_ms:
+            self.contact_ms = contact_ms
+
+    def platform_age_ms(self, now_ms: float) -> float:
+        """Returns the age of the last platform contact, -1 for never."""
+        if self.contact_ms is None:
+            return -1.0
+        return max(0.0, now_ms - self.contact_ms)
+
+    def _update(self, now_ms: float) -> None:
+        self.revision += 1
+        self._by_service, self._by_domain = {}, {}
+        for target, member in self.members.items():
+            if self.is_leaving(target):
+                self._live_ms.pop(target, None)
+                continue
+            self._live_ms.setdefault(target, now_ms)
+            self._by_service.setdefault(member.service, []).append(member)
+            self._by_domain.setdefault(member.failure_domain, []).append(member)
+
+    def _forget_unlisted(self, now_ms: float) -> None:
+        for times in (self._listed_ms, self._live_ms):
+            for target in times.keys() - self.members.keys():
+                del times[target]
+        for target in self._known.keys() - self.members.keys():
+            if now_ms - self._known[target].heard_ms > UNLISTED_REPORT_MS:
+                del self._known[target]
+
+
+def _supersedes(new: messages.SelfReport, old: messages.SelfReport) -> bool:
+    if new.incarnation == old.incarnation:
+        if old.state == LEAVING:
+            return False
+        return new.state == LEAVING or new.sequence > old.sequence
+    return (new.sequence, new.incarnation) > (old.sequence, old.incarnation)
