Add the lifecycle of the daemon

Cause: what a daemon refuses while it starts, resumes after a pause or leaves was decided in three places. It now stands in one pure class. Excluded: a state machine library; there are four states and one way back. Conclusion: base of the wiring.

--- /dev/null
+++ b/mimosahaven/lifecycle.py
@@ -0,0 +1,76 @@
+"""State of the daemon and what it refuses because of it."""
+
+import enum
+
+from mimosahaven import codes
+from mimosahaven import pause as pause_lib
+from mimosahaven import settings as settings_lib
+
+Code = codes.Code
+
+
+class State(enum.Enum):
+    """States of a daemon; LEAVING is final."""
+
+    STARTING = "starting"
+    READY = "ready"
+    RESUMING = "resuming"
+    LEAVING = "leaving"
+
+
+class Lifecycle:
+    """Tells whether the daemon takes new work.
+
+    Attributes:
+      pause: Detects pauses of the process.
+    """
+
+    def __init__(self, settings: settings_lib.Settings):
+        self.pause = pause_lib.PauseDetector(settings)
+        self._drain = settings.mechanisms.drain
+        self._ready = False
+        self._leaving = False
+
+    def make_ready(self) -> None:
+        """Ends the start."""
+        self._ready = True
+
+    def leave(self) -> None:
+        """Begins to leave; there is no way back."""
+        self._leaving = True
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the daemon is leaving."""
+        return self._leaving
+
+    def state(self, now_ms: float) -> State:
+        """Returns the present state."""
+        if self._leaving:
+            return State.LEAVING
+        if not self._ready:
+            return State.STARTING
+        if self.pause.state(now_ms) is pause_lib.State.RESUMING:
+            return State.RESUMING
+        return State.READY
+
+    def refuse_request(self, now_ms: float) -> Code | None:
+        """Returns why a request of a caller is refused, or None."""
+        refused = self._refuse()
+        if refused is None and self.pause.refuses_http(now_ms):
+            return Code.STALE_AFTER_PAUSE
+        return refused
+
+    def refuse_call(self, now_ms: float) -> Code | None:
+        """Returns why a call of another daemon is refused, or None."""
+        refused = self._refuse()
+        if refused is None and self.pause.refuses_new(now_ms):
+            return Code.STALE_AFTER_PAUSE
+        return refused
+
+    def _refuse(self) -> Code | None:
+        if self._leaving and self._drain:
+            return Code.LEAVING
+        if not self._ready:
+            return Code.STARTING
+        return None
