Log and count the decisions, and refuse by the state of the daemon

Cause: nothing told what the daemon decided, and a paused daemon acted on old knowledge. Router and guard now write a line for each decision and count it; requests and calls are refused by the lifecycle (starting, resuming, leaving). Results that a stopping daemon has just sent get 1 s to leave its buffers. Excluded: a log thread; lines are written in batches from the loop.

--- a/mimosahaven/calls.py
+++ b/mimosahaven/calls.py
@@ -22,6 +22,7 @@
       budget: Part of the retry budget held here.
       thresholds: Newest shed threshold of each service below: priority and
         the time it was learnt.
+      retry_count: Attempts after the first of the calls made for this one.
     """
 
     call_id: str
@@ -35,6 +36,7 @@
     thresholds: dict[str, tuple[int, float]] = dataclasses.field(
         default_factory=dict
     )
+    retry_count: int = 0
     _children: int = 0
 
     def next_child_id(self) -> str:
--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import signal
+import sys
 
 import msgspec
 import uvicorn
@@ -12,13 +13,16 @@
 from mimosahaven import attempts
 from mimosahaven import calls
 from mimosahaven import clock
+from mimosahaven import decisions
 from mimosahaven import dispatch
 from mimosahaven import entry
 from mimosahaven import fleet as fleet_lib
 from mimosahaven import guard as guard_lib
 from mimosahaven import identity
+from mimosahaven import lifecycle as lifecycle_lib
 from mimosahaven import links as links_lib
 from mimosahaven import messages
+from mimosahaven import metrics as metrics_lib
 from mimosahaven import platformclient
 from mimosahaven import router as router_lib
 from mimosahaven import routing
@@ -48,7 +52,8 @@
     async def on_get(self, req, resp) -> None:
         """Answers with the state as JSON."""
         del req
-        resp.media = {"state": self._daemon.state}
+        state = self._daemon.lifecycle.state(clock.monotonic_ms())
+        resp.media = {"state": state.value}
 
 
 class Daemon(links_lib.Handler):
@@ -58,21 +63,43 @@
         self.settings = settings
         self.rng = random.Random(settings.seed)
         self.incarnation = identity.new_incarnation(random.SystemRandom())
+        self.lifecycle = lifecycle_lib.Lifecycle(settings)
+        self.sink = decisions.LineSink(sys.stderr.fileno())
+        self.log = decisions.DecisionLog(settings.log, self.sink)
+        self.metrics = metrics_lib.Metrics(
+            settings.metrics, settings.target.name
+        )
         self.registry = calls.CallRegistry()
         self.fleet = fleet_lib.FleetView()
         self.hub = links_lib.LinkHub(settings, self.incarnation, self)
         self.attempts = attempts.Attempts(settings, self.hub)
         self.chooser = routing.Chooser(settings, self.rng)
         self.router = router_lib.Router(
-            settings, self.fleet, self.chooser, self.attempts
+            settings,
+            self.fleet,
+            self.chooser,
+            self.attempts,
+            self.log,
+            self.metrics,
         )
         self.client = targetclient.TargetClient(settings)
         self.guard = guard_lib.Guard(
-            settings, self.incarnation, self.registry, self.client
+            settings,
+            self.incarnation,
+            self.registry,
+            self.client,
+            self.lifecycle,
+            self.log,
+            self.metrics,
         )
         self.dispatcher = dispatch.Dispatcher(
-            settings, self.incarnation, self.registry, self.router
+            settings,
+            self.incarnation,
+            self.registry,
+            self.router,
+            self.lifecycle,
         )
+        self.dispatcher.on_event = self.observe
         self._tasks: set[asyncio.Task] = set()
         self.platform = None
         if settings.platform:
@@ -126,14 +153,13 @@
         self._server_task = self.spawn(self._server.serve())
         self.spawn(self._tick_forever())
 
-    @property
-    def state(self) -> str:
-        """State of this daemon: starting, ready or leaving."""
-        if self.guard.leaving:
-            return "leaving"
-        if self.guard.table is None or not self.fleet.members:
-            return "starting"
-        return "ready"
+    def observe(self, now_ms: float) -> None:
+        """Takes in the present time; notices when the process was paused."""
+        if self.lifecycle.pause.observe(now_ms):
+            gap_ms = self.lifecycle.pause.last_gap_ms
+            logger.warning("daemon: was paused for {:.0f} ms", gap_ms)
+            self.metrics.count(metrics_lib.Metric.PAUSES)
+            self.hub.forgive_silence(now_ms)
 
     def _version_of(self, name: platformclient.DocumentName) -> int:
         if name is platformclient.DocumentName.LIST:
@@ -146,6 +172,8 @@
             self.fleet.apply_list(listing, now_ms)
         else:
             self.use_table(table_lib.parse_table(text))
+        if self.guard.table and self.fleet.members:
+            self.lifecycle.make_ready()
 
     def spawn(self, coroutine) -> asyncio.Task:
         """Runs a coroutine as a task that is kept until it ends."""
@@ -173,8 +201,7 @@
     async def drain(self) -> None:
         """Refuses new work and waits until nothing is in flight."""
         logger.info("daemon: leaving, {} in flight", self.in_flight_count)
-        self.dispatcher.leaving = True
-        self.guard.leaving = True
+        self.lifecycle.leave()
         started_ms = clock.monotonic_ms()
         while clock.monotonic_ms() - started_ms < self.settings.drain_ms:
             await asyncio.sleep(TICK_MS / 1000)
@@ -199,6 +226,7 @@
 
     def on_request(self, route, message, waited_ms, now_ms) -> None:
         """Takes in a message from a peer that connected to this daemon."""
+        self.observe(now_ms)
         if isinstance(message, messages.Call):
             self.spawn(self._run_call(route, message, waited_ms, now_ms))
         elif isinstance(message, messages.Inquire):
@@ -208,7 +236,7 @@
 
     def on_answer(self, link, message, now_ms) -> None:
         """Takes in a message from a peer that this daemon connected to."""
-        del now_ms
+        self.observe(now_ms)
         if isinstance(message, messages.Result | messages.InquiryReply):
             self.attempts.on_answer(link, message)
 
@@ -230,6 +258,9 @@
     async def _tick_forever(self) -> None:
         while True:
             now_ms = clock.monotonic_ms()
+            self.observe(now_ms)
             self.guard.tick(now_ms)
             self.hub.tick(now_ms)
+            self.log.flush()
+            self.metrics.tick(now_ms)
             await asyncio.sleep(TICK_MS / 1000)
--- a/mimosahaven/dispatch.py
+++ b/mimosahaven/dispatch.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+from collections.abc import Callable
 
 from mimosahaven import attempts
 from mimosahaven import budget as budget_lib
@@ -9,6 +10,7 @@
 from mimosahaven import clock
 from mimosahaven import codes
 from mimosahaven import identity
+from mimosahaven import lifecycle as lifecycle_lib
 from mimosahaven import messages
 from mimosahaven import router as router_lib
 from mimosahaven import settings as settings_lib
@@ -58,15 +60,18 @@
         incarnation: str,
         registry: calls.CallRegistry,
         router: router_lib.Router,
+        lifecycle: lifecycle_lib.Lifecycle,
     ):
         self._settings = settings
+        self._lifecycle = lifecycle
         self._registry = registry
         self._router = router
         self._issuer = identity.ActionIdIssuer(
             settings.target.name, incarnation
         )
         self._in_flight_count = 0
-        self.leaving = False
+        # Called with the present time before any other work of a request.
+        self.on_event: Callable[[float], None] = lambda now_ms: None
         self.table: table_lib.Table | None = None
 
     @property
@@ -91,11 +96,9 @@
         """Returns why a request is refused before its body is read."""
         if parent_id and self._registry.get(parent_id):
             return None
-        if self.leaving:
-            return Code.LEAVING
-        if self.table is None:
-            return Code.STARTING
-        return None
+        now_ms = clock.monotonic_ms()
+        self.on_event(now_ms)
+        return self._lifecycle.refuse_request(now_ms)
 
     async def serve(self, call: IncomingCall) -> ServedCall:
         """Serves one request of a caller or of the local target."""
--- a/mimosahaven/guard.py
+++ b/mimosahaven/guard.py
@@ -1,6 +1,7 @@
 """Runs calls of other daemons on the local target."""
 
 import asyncio
+import collections
 
 import msgspec
 
@@ -9,14 +10,18 @@
 from mimosahaven import calls
 from mimosahaven import clock
 from mimosahaven import codes
+from mimosahaven import decisions
 from mimosahaven import identity
 from mimosahaven import ledger as ledger_lib
+from mimosahaven import lifecycle as lifecycle_lib
 from mimosahaven import messages
+from mimosahaven import metrics as metrics_lib
 from mimosahaven import settings as settings_lib
 from mimosahaven import table as table_lib
 from mimosahaven import targetclient
 
 Code = codes.Code
+Metric = metrics_lib.Metric
 
 
 class Guard:
@@ -28,8 +33,14 @@
         incarnation: str,
         registry: calls.CallRegistry,
         client: targetclient.TargetClient,
+        lifecycle: lifecycle_lib.Lifecycle,
+        log: decisions.DecisionLog,
+        metrics: metrics_lib.Metrics,
     ):
         self._settings = settings
+        self._lifecycle = lifecycle
+        self._log = log
+        self._metrics = metrics
         self._incarnation = incarnation
         self._registry = registry
         self._client = client
@@ -39,7 +50,7 @@
         self._outcomes: dict[str, asyncio.Future] = {}
         self.ledger = ledger_lib.Ledger(settings)
         self.table: table_lib.Table | None = None
-        self.leaving = False
+        self.refusals: collections.Counter[str] = collections.Counter()
         self.in_flight_count = 0
 
     async def run(
@@ -94,10 +105,9 @@
             and mechanisms.incarnation_check
         ):
             return None, Code.WRONG_INCARNATION
-        if self.leaving and mechanisms.drain:
-            return None, Code.LEAVING
-        if self.table is None:
-            return None, Code.STARTING
+        refused = self._lifecycle.refuse_call(received_ms)
+        if refused is not None:
+            return None, refused
         if not mechanisms.clock_skew:
             waited_ms = 0.0
         if call.remaining_ms <= waited_ms:
@@ -190,6 +200,13 @@
     ) -> messages.Result:
         started_ms = clock.monotonic_ms()
         self._registry.add(context)
+        self._log.decide(
+            decisions.Part.GUARD,
+            call.call_id,
+            "run here",
+            f"load {self._admission.load():.2f}",
+            attempt=call.attempt,
+        )
         outcome = admission_lib.Outcome.LOST
         try:
             answer = await self._client.send(call, context)
@@ -210,6 +227,16 @@
         return result
 
     def _refuse(self, call: messages.Call, code: Code) -> messages.Result:
+        self.refusals[code.name] += 1
+        self._metrics.count(Metric.REFUSALS, suffix=code.name)
+        self._log.decide(
+            decisions.Part.GUARD,
+            call.call_id,
+            "refused",
+            codes.describe(code).text,
+            code,
+            attempt=call.attempt,
+        )
         return self._result(call, code, call.budget)
 
     def _result(
--- a/mimosahaven/links.py
+++ b/mimosahaven/links.py
@@ -17,6 +17,7 @@
 PREFIX = "link:"
 # Bounds the time that one wake-up keeps the loop from other work.
 MESSAGES_PER_WAKEUP = 64
+STOP_LINGER_MS = 1_000
 # A route that has sent nothing for this long is forgotten.
 ROUTE_TTL_MS = 60_000
 
@@ -51,13 +52,13 @@
             self._schedule()
         return True
 
-    def close(self) -> None:
-        """Closes the socket and drops unsent messages."""
+    def close(self, linger_ms: int = 0) -> None:
+        """Closes the socket; unsent messages are sent within linger_ms."""
         if self._closed:
             return
         self._closed = True
         self._loop.remove_reader(self._fd)
-        self._socket.close(linger=0)
+        self._socket.close(linger=linger_ms)
 
     def _schedule(self) -> None:
         if self._scheduled or self._closed:
@@ -234,7 +235,8 @@
             link.close()
         self._links.clear()
         if self._server:
-            self._server.close()
+            # The results of a drained daemon are still on their way.
+            self._server.close(STOP_LINGER_MS)
         self.context.term()
 
     def link_to(self, target: str, host: str, port: int) -> Link:
--- a/mimosahaven/router.py
+++ b/mimosahaven/router.py
@@ -7,13 +7,16 @@
 from mimosahaven import calls
 from mimosahaven import clock
 from mimosahaven import codes
+from mimosahaven import decisions
 from mimosahaven import fleet as fleet_lib
 from mimosahaven import messages
+from mimosahaven import metrics as metrics_lib
 from mimosahaven import routing
 from mimosahaven import settings as settings_lib
 
 Code = codes.Code
 RunState = codes.RunState
+Metric = metrics_lib.Metric
 
 _FINAL = frozenset(
     {
@@ -82,13 +85,19 @@
         fleet: fleet_lib.FleetView,
         chooser: routing.Chooser,
         sender: attempts.Attempts,
+        log: decisions.DecisionLog,
+        metrics: metrics_lib.Metrics,
     ):
         self._settings = settings
+        self._log = log
+        self._metrics = metrics
         self._fleet = fleet
         self._chooser = chooser
         self._sender = sender
         self._ratio = budget_lib.RetryRatio(settings)
+        self.attempt_count = 0
         self.retry_count = 0
+        self.denied_count = 0
 
     async def call(self, request: Request) -> Routed:
         """Sends a call, with retries as the budget allows."""
@@ -101,6 +110,8 @@
                 return routed
             attempt += 1
             self.retry_count += 1
+            request.context.retry_count += 1
+            self._metrics.count(Metric.RETRIES)
 
     def _may_retry(self, request: Request, result: messages.Result) -> bool:
         if Code(result.code) in _FINAL:
@@ -116,11 +127,11 @@
         if not repeatable:
             return False
         budget = request.context.budget
-        return (
-            budget.remaining > 0
-            and self._ratio.allow(request.service, now_ms)
-            and budget.take()
-        )
+        if budget.remaining > 0 and self._ratio.allow(request.service, now_ms):
+            return budget.take()
+        self.denied_count += 1
+        self._metrics.count(Metric.RETRIES_DENIED)
+        return False
 
     async def _attempt(
         self, request: Request, attempt: int, tried: set[str]
@@ -135,6 +146,7 @@
         choice = self._chooser.choose(
             request.service, candidates, context.priority, tried, now_ms
         )
+        self._note(request, attempt, choice)
         if choice.target is None:
             return Routed(
                 attempts.refusal(request.call_id, attempt, Code.NO_TARGET)
@@ -143,6 +155,26 @@
         result = await self._send(request, attempt, choice.target)
         return Routed(result, choice.target)
 
+    def _note(
+        self, request: Request, attempt: int, choice: routing.Choice
+    ) -> None:
+        self._log.decide(
+            decisions.Part.ROUTE,
+            request.call_id,
+            f"to {choice.target.target}" if choice.target else "refused",
+            choice.reason.value,
+            0 if choice.target else Code.NO_TARGET,
+            choice.weighed,
+            attempt,
+        )
+        if choice.target is None:
+            return
+        self.attempt_count += 1
+        self._metrics.count(Metric.ATTEMPTS)
+        own = self._settings.target.failure_domain
+        if choice.target.failure_domain != own:
+            self._metrics.count(Metric.SPILLS)
+
     async def _send(
         self, request: Request, attempt: int, member: fleet_lib.Member
     ) -> messages.Result:
