Add the records of actions and the owners of keys

Cause: a repeated request had no owner that decides whether it may run, and keys could run on two sides of a partition. KeyView keeps times of removal per daemon name instead of state per key. A list that was too old counts as an interruption of ownership, and a new owner waits action_window_ms + 2 x (key_view_max_age_ms + list_lag_ms), because two views may trail the platform by different times. Idempotent actions use at most half of the records; one that succeeded and whose identity the caller did not know is not kept. Excluded: a lookup in a per-key table of owners; a digest in the action id, which a log of issued ranges replaces.

--- /dev/null
+++ b/mimosahaven/actionrecords.py
@@ -0,0 +1,185 @@
+"""Records of the actions that a daemon owns."""
+
+import dataclasses
+import heapq
+
+from mimosahaven import budget as budget_lib
+from mimosahaven import codes
+from mimosahaven import identity
+from mimosahaven import ledger as ledger_lib
+from mimosahaven import messages
+from mimosahaven import settings as settings_lib
+
+RunState = codes.RunState
+
+SUCCESS = frozenset({codes.Code.OK, codes.Code.OK_FROM_LEDGER})
+
+_ISSUE_STEP_MS = 100
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """Where the last attempt of a run went, for an inquiry."""
+
+    target: str
+    incarnation: str
+    attempt: int
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """One action that was run here.
+
+    Attributes:
+      key: Caller and idempotency key, or empty.
+      known: Whether the caller knew the action id or key when it sent the
+        request.
+      run: Number of the last run, from 1.
+      running: Whether the last run, or an inquiry about it, is under way.
+      state: Run state of the last run, when it is not running.
+      ran_before: Whether a run before the last one may have run.
+      place: Where the last attempt of the last run went.
+    """
+
+    action: identity.ActionId
+    fingerprint: str
+    idempotent: bool
+    budget: budget_lib.ChainBudget
+    key: str
+    known: bool
+    run: int = 1
+    running: bool = True
+    state: RunState = RunState.UNKNOWN
+    ran_before: bool = False
+    place: Place | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any run that has ended may have run."""
+        return self.ran_before or self.state is not RunState.NOT_RUN
+
+    def overall_state(self) -> RunState:
+        """Returns whether any run ran, as far as it is known."""
+        if self.ran_before and self.state is RunState.NOT_RUN:
+            return RunState.UNKNOWN
+        return self.state
+
+
+class IssueLog:
+    """Which sequence numbers were issued in which step of time."""
+
+    def __init__(self, settings: settings_lib.Settings):
+        window_ms = settings.ledger.action_window_ms
+        self._steps_kept = window_ms // _ISSUE_STEP_MS + 1
+        self._ranges: dict[int, tuple[int, int]] = {}
+
+    def add(self, action: identity.ActionId) -> None:
+        """Adds a new action id and forgets those older than the window."""
+        step = action.issued_ms // _ISSUE_STEP_MS
+        first, _ = self._ranges.get(step, (action.sequence, 0))
+        self._ranges[step] = (first, action.sequence)
+        while (oldest := next(iter(self._ranges))) < step - self._steps_kept:
+            del self._ranges[oldest]
+
+    def __contains__(self, action: identity.ActionId) -> bool:
+        step = action.issued_ms // _ISSUE_STEP_MS
+        first, last = self._ranges.get(step, (1, 0))
+        return first <= action.sequence <= last
+
+
+class ActionRecords:
+    """The records, bounded in number and in bytes of answers.
+
+    A record stays for action_window_ms after its action id was issued, and
+    longer while the action runs. An idempotent action that has succeeded and
+    whose identity the caller did not know needs no record any more.
+    """
+
+    def __init__(self, settings: settings_lib.Settings):
+        self._window_ms = settings.ledger.action_window_ms
+        self._records_max = settings.ledger.action_records_max
+        self._records: dict[int, Record] = {}
+        self._by_key: dict[str, Record] = {}
+        self._idempotent_count = 0
+        self._due: list[tuple[int, int]] = []  # Issue time and sequence.
+        self._answers = ledger_lib.AnswerStore(
+            settings.ledger.action_answer_bytes_max
+        )
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def get(self, action: identity.ActionId) -> Record | None:
+        """Returns the record with the sequence number of an action id."""
+        return self._records.get(action.sequence)
+
+    def get_by_key(self, key: str) -> Record | None:
+        """Returns the record of an idempotency key."""
+        return self._by_key.get(key)
+
+    def outcome(self, record: Record) -> messages.Result:
+        """Returns the kept outcome of a settled record."""
+        return self._answers.get(record.action.sequence)
+
+    def has_room(self, idempotent: bool) -> bool:
+        """Returns whether a record can be added.
+
+        Idempotent actions use at most half of the records, so that browsing
+        does not keep others out.
+        """
+        if idempotent and self._idempotent_count >= self._records_max // 2:
+            return False
+        return len(self._records) < self._records_max
+
+    def is_expired(self, action: identity.ActionId, now_ms: float) -> bool:
+        """Returns whether an action id is past the window."""
+        return now_ms - action.issued_ms > self._window_ms
+
+    def add(self, record: Record) -> None:
+        """Adds the record of an action that starts to run."""
+        action = record.action
+        self._records[action.sequence] = record
+        self._idempotent_count += record.idempotent
+        if record.key:
+            self._by_key[record.key] = record
+        heapq.heappush(self._due, (action.issued_ms, action.sequence))
+
+    def start_again(self, record: Record, idempotent: bool) -> None:
+        """Begins the next run of a settled action."""
+        record.ran_before = record.may_have_run
+        record.run += 1
+        record.running = True
+        record.place = None
+        self._idempotent_count += idempotent - record.idempotent
+        record.idempotent = idempotent
+
+    def settle(
+        self,
+        record: Record,
+        result: messages.Result,
+        state: RunState,
+        now_ms: float,
+    ) -> None:
+        """Takes in the outcome of the last run."""
+        record.running = False
+        record.state = state
+        self._answers.keep(record.action.sequence, result)
+        needless = (
+            record.idempotent and not record.known and result.code in SUCCESS
+        )
+        if needless or self.is_expired(record.action, now_ms):
+            self._drop(record)
+
+    def sweep(self, now_ms: float) -> None:
+        """Drops the records past the window; running ones stay."""
+        while self._due and now_ms - self._due[0][0] > self._window_ms:
+            record = self._records.get(heapq.heappop(self._due)[1])
+            if record is not None and not record.running:
+                self._drop(record)
+
+    def _drop(self, record: Record) -> None:
+        del self._records[record.action.sequence]
+        self._idempotent_count -= record.idempotent
+        self._answers.remove(record.action.sequence)
+        if self._by_key.get(record.key) is record:
+            del self._by_key[record.key]
--- a/mimosahaven/budget.py
+++ b/mimosahaven/budget.py
@@ -18,6 +18,8 @@
         passed down.
     """
 
+    __slots__ = ("_chained", "_remaining")
+
     def __init__(self, total: int, chained: bool = True):
         self._remaining = total
         self._chained = chained
--- /dev/null
+++ b/mimosahaven/keyowner.py
@@ -0,0 +1,121 @@
+"""Which daemon owns an idempotency key, and since when."""
+
+import collections.abc
+
+import xxhash
+
+from mimosahaven import settings as settings_lib
+
+
+def _seed(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+def choose_owner(names: collections.abc.Iterable[str], key: str) -> str | None:
+    """Returns the owner of a key by rendezvous hash, None without names."""
+    return _choose({name: _seed(name) for name in names}, key)
+
+
+def _choose(seeds: dict[str, int], key: str) -> str | None:
+    digest = xxhash.xxh3_64_intdigest
+    data = key.encode()
+    scores = [(digest(data, seed), name) for name, seed in seeds.items()]
+    return max(scores)[1] if scores else None
+
+
+class KeyView:
+    """The own view of who owns keys, without any state per key.
+
+    This daemon has owned a key without interruption since the latest of: the
+    time since it is listed itself and its list has never been too old, and
+    the removals of those names that would own the key instead. Only the times
+    of removal need to be kept.
+
+    A view trails the platform by up to key_view_max_age_ms + list_lag_ms, and
+    a member that left and came back between two reads is not noticed. Two
+    owners are therefore more than action_window_ms apart only if a new owner
+    waits twice that time on top of the window: see settle_ms.
+    """
+
+    def __init__(self, settings: settings_lib.Settings, target: str):
+        ledger = settings.ledger
+        self._enabled = settings.mechanisms.key_settling
+        self._target = target
+        self._max_age_ms = ledger.key_view_max_age_ms
+        self.settle_ms = ledger.action_window_ms + 2 * (
+            ledger.key_view_max_age_ms + ledger.list_lag_ms
+        )
+        self._version = -1
+        # Hash seeds of the listed names, which save a hash for each key.
+        self._seeds: dict[str, int] = {}
+        self._confirmed_ms = float("-inf")
+        self._since_ms = float("inf")
+        self._removed_ms: dict[str, float] = {}
+
+    def observe(
+        self,
+        version: int,
+        names: collections.abc.Iterable[str],
+        confirmed_ms: float,
+    ) -> None:
+        """Takes in that a list was the platform's newest.
+
+        It must be called for each confirmation, not only for a new list. An
+        older version than the known one does not count.
+
+        Args:
+          version: Version of the list.
+          names: Daemons that the platform lists as live, without what was
+            learnt from the daemons themselves.
+          confirmed_ms: Time on the own clock at which the platform was read.
+        """
+        if version < self._version:
+            return
+        confirmed_ms = max(confirmed_ms, self._confirmed_ms)
+        names = set(names)
+        interrupted = (
+            confirmed_ms - self._confirmed_ms > self._max_age_ms
+            or self._target not in self._seeds
+        )
+        if interrupted:
+            self._since_ms = confirmed_ms
+        for name in self._seeds.keys() - names:
+            self._removed_ms[name] = confirmed_ms
+        self._removed_ms = {
+            name: removed_ms
+            for name, removed_ms in self._removed_ms.items()
+            if name not in names and removed_ms > self._since_ms
+            if confirmed_ms - removed_ms <= self.settle_ms
+        }
+        self._version = version
+        if names != self._seeds.keys():
+            self._seeds = {name: _seed(name) for name in names}
+        self._confirmed_ms = confirmed_ms
+
+    def lists(self, name: str) -> bool:
+        """Returns whether a daemon is in the list, True without a list."""
+        return not self._seeds or name in self._seeds
+
+    def owner(self, key: str) -> str | None:
+        """Returns the owner in the newest list, None without a list."""
+        return _choose(self._seeds, key)
+
+    def owned_since_ms(self, key: str) -> float | None:
+        """Returns since when this daemon owns a key, None if it does not."""
+        if self.owner(key) != self._target:
+            return None
+        since_ms = self._since_ms
+        for name, removed_ms in self._removed_ms.items():
+            if removed_ms > since_ms:
+                if choose_owner((self._target, name), key) == name:
+                    since_ms = removed_ms
+        return since_ms
+
+    def may_run(self, key: str, now_ms: float) -> bool:
+        """Returns whether no other daemon can have run the key recently."""
+        since_ms = self.owned_since_ms(key)
+        if since_ms is None or not self._enabled:
+            return since_ms is not None
+        if now_ms - self._confirmed_ms > self._max_age_ms:
+            return False
+        return now_ms - since_ms >= self.settle_ms
--- a/mimosahaven/ledger.py
+++ b/mimosahaven/ledger.py
@@ -1,6 +1,7 @@
 """Ledger of the calls that a guard has run, is running or has barred."""
 
 import collections
+import collections.abc
 import dataclasses
 import enum
 
@@ -61,8 +62,9 @@
     def __init__(self, bytes_max: int):
         self._bytes_max = bytes_max
         self._bytes = 0
-        self._results: dict[str, messages.Result] = {}
-        self._sizes: collections.OrderedDict[str, int] = (
+        self._results: dict[collections.abc.Hashable, messages.Result] = {}
+        # Bytes of the kept answers, oldest first.
+        self._sizes: collections.OrderedDict[collections.abc.Hashable, int] = (
             collections.OrderedDict()
         )
 
@@ -71,7 +73,9 @@
         """Bytes of the headers and bodies that are kept."""
         return self._bytes
 
-    def keep(self, identity: str, result: messages.Result) -> None:
+    def keep(
+        self, identity: collections.abc.Hashable, result: messages.Result
+    ) -> None:
         """Keeps an outcome in place of an earlier one.
 
         Thresholds and load are left out: they would be stale when read.
@@ -97,14 +101,14 @@
             self._bytes -= size
             self._results[evicted] = _without_answer(self._results[evicted])
 
-    def get(self, identity: str) -> messages.Result | None:
+    def get(self, identity: collections.abc.Hashable) -> messages.Result | None:
         """Returns the outcome as it is told again, or None."""
         result = self._results.get(identity)
         if result is not None and result.code == Code.OK:
             return msgspec.structs.replace(result, code=Code.OK_FROM_LEDGER)
         return result
 
-    def remove(self, identity: str) -> None:
+    def remove(self, identity: collections.abc.Hashable) -> None:
         """Forgets an outcome, if there is one."""
         if self._results.pop(identity, None) is not None:
             self._bytes -= self._sizes.pop(identity, 0)
@@ -136,8 +140,10 @@
         self._settings = settings.ledger
         self._enabled = settings.mechanisms.ledger
         self._running: set[str] = set()
-        # Time of settlement by call id, in this order.
-        self._settled: dict[str, float] = {}
+        # Time of settlement and call id, oldest first.
+        self._settled: collections.deque[tuple[float, str]] = (
+            collections.deque()
+        )
         self._barred: set[str] = set()
         self._answers = AnswerStore(settings.ledger.answer_bytes_max)
 
@@ -169,8 +175,8 @@
             return Verdict(Begin.RUN)
         if call_id in self._running:
             return Verdict(Begin.WAIT)
-        if call_id in self._settled:
-            kept = self._answers.get(call_id)
+        kept = self._answers.get(call_id)
+        if kept is not None:
             result = msgspec.structs.replace(kept, attempt=attempt)
             return Verdict(Begin.ANSWER, result=result)
         if self._is_full():
@@ -190,7 +196,7 @@
         self._running.remove(call_id)
         state = codes.describe(Code(result.code)).run_state
         if state is not RunState.NOT_RUN:
-            self._settled[call_id] = now_ms
+            self._settled.append((now_ms, call_id))
             self._answers.keep(call_id, result)
 
     def release(self, call_id: str, now_ms: float) -> None:
@@ -215,21 +221,20 @@
             return Inquiry("running")
         if call_id in self._barred:
             return Inquiry("barred")
-        if call_id in self._settled:
-            return Inquiry("done", self._answers.get(call_id))
+        kept = self._answers.get(call_id)
+        if kept is not None:
+            return Inquiry("done", kept)
         if self._is_full():
             return Inquiry("running")
-        self._settled[call_id] = now_ms
+        self._settled.append((now_ms, call_id))
         self._barred.add(call_id)
         return Inquiry("barred")
 
     def sweep(self, now_ms: float) -> None:
         """Removes outcomes and tombstones that are past the window."""
-        while self._settled:
-            call_id, settled_ms = next(iter(self._settled.items()))
-            if now_ms - settled_ms <= self._settings.action_window_ms:
-                return
-            del self._settled[call_id]
+        window_ms = self._settings.action_window_ms
+        while self._settled and now_ms - self._settled[0][0] > window_ms:
+            _, call_id = self._settled.popleft()
             self._barred.discard(call_id)
             self._answers.remove(call_id)
 
--- a/mimosahaven/settings.py
+++ b/mimosahaven/settings.py
@@ -83,9 +83,14 @@
     """Ledger of calls that ran or were barred."""
 
     action_window_ms: PositiveMs = 120_000
-    records_max: Count = 100_000
+    records_max: Count = 50_000
     answer_bytes_max: Count = 16_777_216
     key_view_max_age_ms: PositiveMs = 10_000
+    # Longest time by which a list read from the platform may trail it.
+    list_lag_ms: PositiveMs = 5_000
+    # Actions at their owner; idempotent ones use at most half of the records.
+    action_records_max: Count = 30_000
+    action_answer_bytes_max: Count = 8_388_608
 
 
 class RetrySettings(Part):
@@ -172,6 +177,7 @@
     chain_budget: bool = True
     inquire: bool = True
     ledger: bool = True
+    key_settling: bool = True
     incarnation_check: bool = True
     clock_skew: bool = True
     pause_detector: bool = True
