--- a/mimosahaven/settings.py
+++ b/mimosahaven/settings.py
@@ -149,7 +149,11 @@
     """Contents that crash targets."""
 
     hold_ms: PositiveMs = 600_000
-    suspect_ms: PositiveMs = 60_000
+    # As long as a hold: a shorter time allows a crash in each such period.
+    suspect_ms: PositiveMs = 600_000
+    success_ms: PositiveMs = 60_000
+    successes_max: Count = 10_000
+    cases_max: Count = 10_000
 
 
 class LogSettings(Part):
