Serve each action once, whoever sends it again and wherever

The dispatcher now asks the owner's records of actions, forwards a request to its owner, waits for a running one and inquires after an unknown one. Excluded: a lookup by content; two equal orders may be meant. Recovery is still poor (no admission control yet).

--- a/mimosahaven/attempts.py
+++ b/mimosahaven/attempts.py
@@ -91,11 +91,13 @@
         key = (call.call_id, call.attempt)
         self._sent[key] = sent
         try:
-            return await self._await_outcome(
+            result = await self._await_outcome(
                 link, sent, call, deadline_ms, idempotent
             )
         finally:
             del self._sent[key]
+        result.incarnation = sent.incarnation
+        return result
 
     async def _await_outcome(
         self,
--- /dev/null
+++ b/mimosahaven/ownerlink.py
@@ -0,0 +1,74 @@
+"""Reaches the owners of actions and the guards that ran them."""
+
+import itertools
+
+from mimosahaven import actionrecords
+from mimosahaven import attempts
+from mimosahaven import codes
+from mimosahaven import fleet as fleet_lib
+from mimosahaven import messages
+
+Code = codes.Code
+
+# The owner did not decide about the request.
+_NOT_SERVED = frozenset(
+    {
+        Code.NO_TARGET,
+        Code.LINK_LOST,
+        Code.OWNER_LOST,
+        Code.KEY_UNSETTLED,
+        Code.WRONG_INCARNATION,
+        Code.LEAVING,
+        Code.STARTING,
+        Code.STALE_AFTER_PAUSE,
+    }
+)
+
+
+class OwnerLink:
+    """Sends requests to owners and inquiries to guards."""
+
+    def __init__(
+        self,
+        target: str,
+        incarnation: str,
+        fleet: fleet_lib.FleetView,
+        sender: attempts.Attempts,
+    ):
+        self._prefix = f"{target}.{incarnation}/forward"
+        self._numbers = itertools.count(1)
+        self._fleet = fleet
+        self._sender = sender
+
+    async def forward(
+        self, call: messages.Call, owner: str, deadline_ms: float
+    ) -> messages.Result | None:
+        """Sends a request to its owner.
+
+        Args:
+          call: The request; its call id is set here.
+          owner: Target of the owner.
+          deadline_ms: Deadline on the monotonic clock.
+
+        Returns:
+          The owner's result, or None when the owner did not serve it.
+        """
+        member = self._fleet.members.get(owner)
+        if member is None:
+            return None
+        call.call_id = f"{self._prefix}/{next(self._numbers)}"
+        result = await self._sender.send(member, call, deadline_ms, True)
+        if Code(result.code) in _NOT_SERVED:
+            return None
+        return result
+
+    async def inquire(
+        self, call_id: str, place: actionrecords.Place, deadline_ms: float
+    ) -> messages.Result:
+        """Asks the guard that a call was sent to what became of it."""
+        member = self._fleet.members.get(place.target)
+        if member is None:
+            return attempts.refusal(call_id, place.attempt, Code.LINK_LOST)
+        return await self._sender.inquire(
+            member, place.incarnation, call_id, place.attempt, deadline_ms
+        )
--- a/mimosahaven/router.py
+++ b/mimosahaven/router.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from mimosahaven import actionrecords
 from mimosahaven import attempts
 from mimosahaven import budget as budget_lib
 from mimosahaven import calls
@@ -64,16 +65,11 @@
 
     Attributes:
       result: Its result.
-      member: Where it went, or None when it was not sent.
+      place: Where it went, or None when it was not sent.
     """
 
     result: messages.Result
-    member: fleet_lib.Member | None = None
-
-
-def run_state(result: messages.Result) -> RunState:
-    """Returns whether the call behind a result ran."""
-    return codes.describe(Code(result.code)).run_state
+    place: actionrecords.Place | None = None
 
 
 class Router:
@@ -103,9 +99,15 @@
         """Sends a call, with retries as the budget allows."""
         tried: set[str] = set()
         attempt = 0
+        may_have_run = False
         self._ratio.record_fresh(request.service, clock.monotonic_ms())
         while True:
             routed = await self._attempt(request, attempt, tried)
+            state = routed.result.told_state()
+            if may_have_run and state is RunState.NOT_RUN:
+                # The last attempt did not run, but an earlier one may have.
+                routed.result.run_state = RunState.UNKNOWN.value
+            may_have_run = may_have_run or state is not RunState.NOT_RUN
             if not self._may_retry(request, routed.result):
                 return routed
             attempt += 1
@@ -121,7 +123,7 @@
             return False
         repeatable = (
             request.idempotent
-            or run_state(result) is RunState.NOT_RUN
+            or result.told_state() is RunState.NOT_RUN
             or not self._settings.mechanisms.inquire
         )
         if not repeatable:
@@ -153,7 +155,12 @@
             )
         tried.add(choice.target.target)
         result = await self._send(request, attempt, choice.target)
-        return Routed(result, choice.target)
+        place = None
+        if result.incarnation:
+            place = actionrecords.Place(
+                choice.target.target, result.incarnation, attempt
+            )
+        return Routed(result, place)
 
     def _note(
         self, request: Request, attempt: int, choice: routing.Choice
