--- a/mimosahaven/pause.py
+++ b/mimosahaven/pause.py
@@ -65,9 +65,9 @@
         """
         if self.resumed_ms is None:
             return False
-        return self._since(
-            now_ms
-        ) < self._settings.backlog_ms or self.refuses_new(now_ms)
+        if self._since(now_ms) < self._settings.backlog_ms:
+            return True
+        return self.refuses_new(now_ms)
 
     def refuses_new(self, now_ms: float) -> bool:
         """Returns whether new calls of other daemons are refused."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -107,6 +107,8 @@
             sink(lines)
         self.assertThat(sink.dropped_count, matchers.GreaterThan(0))
         written = os.read(reader, 10_000_000)
+        # A line cut in two would be joined with the next one.
+        self.assertThat(written, matchers.EndsWith(b"\n"))
         self.assertThat(
             written.count(b"\n") + sink.dropped_count, matchers.Equals(20_000)
         )
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -34,6 +34,8 @@
         self.assertThat(made.ejected("presse", 10.0), matchers.Equals([]))
         fail(made, "t0", 1)
         self.assertThat(made.ejected("presse", 10.0), matchers.Equals(["t0"]))
+        # Results of calls sent before the ejection do not lengthen it.
+        fail(made, "t0", 20)
         self.assertThat(made.ejected("presse", 1_011.0), matchers.Equals([]))
 
     def test_switched_off(self):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -164,8 +164,8 @@
         for target, code, latency_ms in (
             ("t0", Code.OK, 20.0),
             ("t1", Code.OK, 10.0),
-            ("t0", Code.QUEUE_FULL, 0.1),
-            ("t0", Code.TARGET_ERROR, 0.1),
+            *[("t0", Code.QUEUE_FULL, 0.1)] * 9,
+            *[("t0", Code.TARGET_ERROR, 0.1)] * 4,
         ):
             router.finish(target, code, latency_ms, 0.0, 0, 10_000.0)
         self.assertThat(set(spread(router, listing)), matchers.Equals({"t1"}))
