Spend less time on a choice

Cause: on the busy machine a choice among 18 candidates took 12.6 to 15.3 us. The loop over the subset now compares the times of the record itself and skips the threshold of targets that report none. Excluded: keeping the pool between choices; ejections and thresholds change it with time. An inlined threshold; the expiry rule would be stated twice.

--- a/mimosahaven/routing.py
+++ b/mimosahaven/routing.py
@@ -228,20 +228,26 @@
         local: list[balancing.TargetState] = []
         shedding: list[balancing.TargetState] = []
         local_sheds = False
-        in_subset = 0
+        places = self._settings.subset_size
         for state in states:
-            if state.record.is_out(now_ms):
+            record = state.record
+            # Record.is_out, written out: this loop is most of the cost.
+            if (
+                now_ms < record.ejected_until_ms
+                or now_ms < record.unreachable_until_ms
+            ):
                 continue
-            in_subset += 1
-            if state.member.target not in tried:
-                if priority < self._threshold(state, now_ms):
-                    shedding.append(state)
-                    local_sheds = local_sheds or state.local
-                else:
-                    usable.append(state)
-                    if state.local:
-                        local.append(state)
-            if in_subset >= self._settings.subset_size:
+            places -= 1
+            if tried and state.member.target in tried:
+                pass
+            elif state.threshold and priority < self._threshold(state, now_ms):
+                shedding.append(state)
+                local_sheds = local_sheds or state.local
+            else:
+                usable.append(state)
+                if state.local:
+                    local.append(state)
+            if not places:
                 break
         if len(local) >= self._settings.local_min:
             return local, Reason.OWN_DOMAIN
@@ -255,8 +261,6 @@
 
     def _threshold(self, state: balancing.TargetState, now_ms: float) -> float:
         """Returns the shed threshold as far as it has not expired."""
-        if not state.threshold:
-            return 0.0
         fresh = 1.0 - (now_ms - state.reported_ms) / self._expiry_ms
         return state.threshold * fresh
 
