Add limit algorithms, the shed threshold and admission control

Cause: the guard let every call through. This adds the concurrency limits, the queue by priority, the reserve and the shed threshold, with an event loop of one target for their tests.

--- a/mimosahaven/admission.py
+++ b/mimosahaven/admission.py
@@ -1,23 +1,40 @@
 """Admission control in front of the local target."""
 
 import dataclasses
-import enum
+import math
 
 from mimosahaven import codes
+from mimosahaven import concurrency
+from mimosahaven import identity
 from mimosahaven import settings as settings_lib
+from mimosahaven import shedding
+from mimosahaven import waiting
 
+# A window this many times too long spans a pause of the process and says
+# nothing about the load.
+PAUSE_WINDOWS = 5
+# Share of the calls that wait too long which one window removes. Removing
+# all at once leaves the target idle in the next window.
+DRAIN_SHARE = 0.25
+# Share of a window that calls must have waited for to keep the threshold.
+BUSY_SHARE = 0.5
+# Weight of one window in the mean concurrency of important calls, which is
+# thus a mean over about 1 s.
+CONCURRENCY_SMOOTHING = 0.1
+# The expected service time follows the faster calls, so that a call of a fast
+# kind is not dropped because of slow kinds.
+SERVICE_FALL_SHARE = 0.3
+SERVICE_RISE_SHARE = 0.02
+SERVICE_MEAN_SHARE = 0.05
+# Without finished calls the expected service time is lowered by this factor
+# in each window, so that an overestimate cannot refuse calls for good.
+SERVICE_DECAY = 0.8
 
-class Outcome(enum.Enum):
-    """How an admitted call ended."""
+Code = codes.Code
+Outcome = concurrency.Outcome
 
-    OK = "ok"
-    ERROR = "error"
-    REFUSED = "refused"
-    TIMEOUT = "timeout"
-    LOST = "lost"
 
-
-@dataclasses.dataclass(eq=False)
+@dataclasses.dataclass(eq=False, slots=True)
 class Ticket:
     """One call that asks for admission.
 
@@ -34,7 +51,7 @@
     deadline_ms: float
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(slots=True)
 class Verdicts:
     """Decisions that have become due.
 
@@ -44,51 +61,255 @@
     """
 
     run: list[Ticket] = dataclasses.field(default_factory=list)
-    refused: list[tuple[Ticket, codes.Code]] = dataclasses.field(
-        default_factory=list
-    )
+    refused: list[tuple[Ticket, Code]] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class _Window:
+    """What happened since start_ms; times are integrals over the window."""
+
+    start_ms: float
+    admitted: int = 0
+    ordinary: int = 0
+    started: int = 0
+    finished: int = 0
+    queue_refusals: int = 0
+    target_refusals: int = 0
+    waiting_ms: float = 0.0
+    busy_ms: float = 0.0
+    important_ms: float = 0.0
 
 
 class Admission:
     """Decides which calls run on the local target, and when."""
 
     def __init__(self, settings: settings_lib.Settings):
+        self._settings = settings.admission
+        self._window_ms = settings.shedding.window_ms
         self._slots = settings.target.slots
+        self._enabled = settings.mechanisms.admission
+        self._has_reserve = settings.mechanisms.reserve
+        self._algorithm = concurrency.create(settings)
+        self._threshold = shedding.ShedThreshold()
+        self._queue = waiting.WaitingQueue()
         self._running = 0
+        self._ordinary_running = 0
+        self._window: _Window | None = None
+        self._seen_ms = 0.0
+        self._important_mean = 0.0
+        self._important_floor: int | None = None
+        self._expected_ms = 0.0
+        self._mean_ms = 0.0
+
+    @property
+    def limit(self) -> int:
+        """Calls that may run at once."""
+        return self._algorithm.limit if self._enabled else self._slots
+
+    @property
+    def reserve(self) -> int:
+        """Part of the limit that only important calls may use."""
+        limit = self._algorithm.limit
+        if not self._has_reserve or limit <= 1:
+            return 0
+        wanted = math.ceil(self._important_mean)
+        return max(
+            1, min(wanted, int(limit * self._settings.reserve_share_max))
+        )
 
     def offer(self, ticket: Ticket, now_ms: float) -> Verdicts:
         """Takes in a new call and returns the decisions that are due."""
-        del now_ms
-        self._running += 1
-        return Verdicts(run=[ticket])
+        verdicts = Verdicts()
+        if not self._enabled:
+            self._running += 1
+            verdicts.run.append(ticket)
+            return verdicts
+        self._advance(now_ms)
+        self._learn_floor(ticket)
+        if ticket.deadline_ms - now_ms < self._expected_ms:
+            verdicts.refused.append((ticket, Code.DEADLINE_BEFORE_RUN))
+        elif self._below_threshold(ticket):
+            verdicts.refused.append((ticket, Code.SHED_AT_GUARD))
+        else:
+            self._threshold.record(ticket.priority)
+            self._window.admitted += 1
+            self._window.ordinary += not ticket.important
+            self._queue.add(ticket)
+        self._settle(verdicts, now_ms, ticket)
+        return verdicts
 
     def finish(
-        self,
-        ticket: Ticket,
-        outcome: Outcome,
-        service_ms: float,
-        now_ms: float,
+        self, ticket: Ticket, outcome: Outcome, service_ms: float, now_ms: float
     ) -> Verdicts:
-        """Takes in the end of a running call."""
-        del ticket, outcome, service_ms, now_ms
+        """Takes in the end of a running call.
+
+        Args:
+          ticket: The call, which an earlier verdict let run.
+          outcome: How it ended.
+          service_ms: Time that it ran on the target.
+          now_ms: Present time.
+        """
+        verdicts = Verdicts()
+        if not self._enabled:
+            self._running -= 1
+            return verdicts
+        self._advance(now_ms)
+        self._algorithm.finish(outcome, service_ms, self._running, now_ms)
         self._running -= 1
-        return Verdicts()
+        self._ordinary_running -= not ticket.important
+        self._window.finished += 1
+        if outcome is Outcome.REFUSED:
+            self._window.target_refusals += 1
+        elif outcome is Outcome.OK or outcome is Outcome.TIMEOUT:
+            self._learn_service_time(service_ms)
+        self._settle(verdicts, now_ms)
+        return verdicts
 
     def withdraw(self, ticket: Ticket, now_ms: float) -> Verdicts:
-        """Drops a waiting call that nobody wants any more."""
-        del ticket, now_ms
-        return Verdicts()
+        """Drops a waiting call that nobody wants any more.
+
+        A ticket that is not waiting is ignored.
+        """
+        verdicts = Verdicts()
+        if self._enabled:
+            self._advance(now_ms)
+            self._queue.remove(ticket)
+            self._settle(verdicts, now_ms)
+        return verdicts
 
     def tick(self, now_ms: float) -> Verdicts:
-        """Drops what cannot finish in time and adapts the threshold."""
-        del now_ms
-        return Verdicts()
+        """Drops what cannot finish in time and adapts limit and threshold."""
+        verdicts = Verdicts()
+        if self._enabled:
+            self._advance(now_ms)
+            self._algorithm.tick(self._running, now_ms)
+            self._settle(verdicts, now_ms)
+        return verdicts
 
     def threshold(self, now_ms: float) -> int:
         """Returns the shed threshold: lower priorities are refused."""
         del now_ms
-        return 0
+        return self._threshold.value
 
     def load(self) -> float:
         """Returns running and waiting calls divided by the limit."""
-        return self._running / self._slots
+        return (self._running + len(self._queue)) / self.limit
+
+    def _settle(
+        self, verdicts: Verdicts, now_ms: float, new: Ticket | None = None
+    ) -> None:
+        """Takes all decisions on waiting calls that are due."""
+        queue = self._queue
+        if not len(queue):
+            return
+        for ticket in queue.expired(now_ms + self._expected_ms):
+            self._give_up(ticket, Code.DEADLINE_BEFORE_RUN, verdicts)
+        limit = self._algorithm.limit
+        ordinary_limit = limit - self.reserve
+        while self._running < limit:
+            ticket = queue.highest()
+            if ticket is None:
+                return
+            if not ticket.important:
+                if self._ordinary_running >= ordinary_limit:
+                    break
+                self._ordinary_running += 1
+            queue.remove(ticket)
+            self._running += 1
+            self._window.started += 1
+            verdicts.run.append(ticket)
+        bound = int(limit * self._settings.queue_factor)
+        while len(queue) > bound:
+            ticket = queue.lowest()
+            code = Code.QUEUE_FULL if ticket is new else Code.DISPLACED
+            self._give_up(ticket, code, verdicts)
+
+    def _give_up(self, ticket: Ticket, code: Code, verdicts: Verdicts) -> None:
+        self._queue.remove(ticket)
+        self._window.queue_refusals += 1
+        verdicts.refused.append((ticket, code))
+
+    def _below_threshold(self, ticket: Ticket) -> bool:
+        if ticket.priority >= self._threshold.value:
+            return False
+        if ticket.important and self._ordinary_present():
+            self._threshold.limit_to(self._important_floor)
+            return False
+        return True
+
+    def _ordinary_present(self) -> bool:
+        return bool(self._ordinary_running or self._queue.ordinary_count)
+
+    def _learn_floor(self, ticket: Ticket) -> None:
+        """Learns the lowest priority that the important weights can have."""
+        floor = self._important_floor
+        if ticket.important:
+            if floor is None or ticket.priority < floor:
+                self._important_floor = (
+                    ticket.priority - ticket.priority % identity.WEIGHT_STEP
+                )
+        elif floor is not None and ticket.priority >= floor:
+            # The table has changed since.
+            self._important_floor = None
+
+    def _learn_service_time(self, service_ms: float) -> None:
+        difference_ms = service_ms - self._expected_ms
+        share = SERVICE_FALL_SHARE if difference_ms < 0 else SERVICE_RISE_SHARE
+        self._expected_ms += difference_ms * share
+        self._mean_ms += (service_ms - self._mean_ms) * SERVICE_MEAN_SHARE
+
+    def _advance(self, now_ms: float) -> None:
+        """Brings the integrals up to the present and ends a window."""
+        window = self._window
+        if window is None:
+            window = self._window = _Window(now_ms)
+            self._seen_ms = now_ms
+        passed_ms = now_ms - self._seen_ms
+        self._seen_ms = now_ms
+        waiting_count = len(self._queue)
+        if waiting_count:
+            window.waiting_ms += waiting_count * passed_ms
+            window.busy_ms += passed_ms
+        important = self._running - self._ordinary_running
+        window.important_ms += passed_ms * (
+            important + self._queue.important_count
+        )
+        elapsed_ms = now_ms - window.start_ms
+        if elapsed_ms >= self._window_ms:
+            self._window = _Window(now_ms)
+            if elapsed_ms < self._window_ms * PAUSE_WINDOWS:
+                self._judge(window, elapsed_ms)
+
+    def _judge(self, window: _Window, elapsed_ms: float) -> None:
+        """Adapts threshold and reserve to what a window has shown."""
+        if not window.finished:
+            self._expected_ms *= SERVICE_DECAY
+        important = window.important_ms / elapsed_ms
+        self._important_mean += CONCURRENCY_SMOOTHING * (
+            important - self._important_mean
+        )
+        target_ms = max(
+            self._settings.queue_wait_target_ms,
+            self._settings.queue_wait_service_share * self._mean_ms,
+        )
+        served = window.started - window.target_refusals
+        # By Little's law, the mean wait is waiting_ms divided by the calls
+        # that were served.
+        overloaded = (
+            window.queue_refusals
+            or window.target_refusals
+            or window.waiting_ms > target_ms * max(0, served)
+        )
+        if overloaded:
+            allowed = max(0, served) * target_ms / elapsed_ms
+            standing = max(0.0, len(self._queue) - allowed)
+            excess = window.admitted - served + DRAIN_SHARE * standing
+            share = excess / window.admitted if window.admitted else 0.0
+            ordinary = window.ordinary or self._ordinary_present()
+            self._threshold.raise_by(
+                share, self._important_floor if ordinary else None
+            )
+        elif window.busy_ms > BUSY_SHARE * elapsed_ms:
+            self._threshold.hold()
+        else:
+            self._threshold.lower()
--- /dev/null
+++ b/tests/onetarget.py
@@ -0,0 +1,123 @@
+"""Event loop of one queueing target behind Admission."""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+
+from mimosahaven import admission
+from mimosahaven import settings as settings_lib
+
+SLOTS = 40
+SERVICE_MS = 50.0
+CAPACITY_PER_S = SLOTS * 1000 / SERVICE_MS
+BUCKET_MS = 250
+
+
+def make_settings(slots=SLOTS, **parts) -> settings_lib.Settings:
+    endpoint = {"host": "127.0.0.1", "port": 1}
+    target = {"name": "t", "service": "s", "failure_domain": "d"}
+    target |= {"endpoint": endpoint, "slots": slots}
+    raw = {"target": target, "entry": endpoint, "link": endpoint} | parts
+    return settings_lib.Settings.model_validate(raw)
+
+
+@dataclasses.dataclass
+class Load:
+    """Poisson arrivals from start_ms to end_ms."""
+
+    start_ms: float
+    end_ms: float
+    per_s: float
+    weight: int = 10
+    deadline_ms: float = 1_000
+    service_ms: float = SERVICE_MS
+
+    @property
+    def important(self):
+        return self.weight >= 50
+
+
+class Run:
+    """Runs loads against a target with SLOTS workers and an endless queue.
+
+    The target ignores deadlines, so it also works on calls that have expired.
+    """
+
+    def __init__(self, settings, loads, seed=1, workers=SLOTS):
+        self.rng = random.Random(seed)
+        self.admission = admission.Admission(settings)
+        self.workers = workers
+        self.events = []
+        self.order = itertools.count()
+        self.backlog = collections.deque()
+        self.good = {True: collections.Counter(), False: collections.Counter()}
+        self.offered = {True: 0, False: 0}
+        self.refused = {True: collections.Counter(), False: collections.Counter()}
+        self.trace = []
+        self.end_ms = max(load.end_ms for load in loads)
+        self.busy = 0
+        for load in loads:
+            self.at(load.start_ms, self.arrive, load)
+        self.at(0.0, self.tick)
+        while self.events:
+            now_ms, _, action, arguments = heapq.heappop(self.events)
+            if now_ms > self.end_ms:
+                break
+            action(now_ms, *arguments)
+
+    def at(self, time_ms, action, *arguments):
+        heapq.heappush(
+            self.events, (time_ms, next(self.order), action, arguments)
+        )
+
+    def tick(self, now_ms):
+        self.apply(self.admission.tick(now_ms), now_ms)
+        self.trace.append((now_ms, self.admission.threshold(now_ms), self.admission.limit))
+        self.at(now_ms + 20, self.tick)
+
+    def arrive(self, now_ms, load):
+        next_ms = now_ms + self.rng.expovariate(load.per_s / 1000)
+        if next_ms < load.end_ms:
+            self.at(next_ms, self.arrive, load)
+        priority = load.weight * 65536 + self.rng.randrange(65536)
+        ticket = admission.Ticket(
+            "c", priority, load.important, now_ms + load.deadline_ms
+        )
+        self.offered[load.important] += 1
+        self.work = getattr(self, "work", {})
+        self.work[ticket] = self.rng.expovariate(1 / load.service_ms)
+        self.apply(self.admission.offer(ticket, now_ms), now_ms)
+
+    def apply(self, verdicts, now_ms):
+        for ticket, code in verdicts.refused:
+            self.refused[ticket.important][code] += 1
+            del self.work[ticket]
+        self.backlog.extend((t, now_ms) for t in verdicts.run)
+        self.serve(now_ms)
+
+    def serve(self, now_ms):
+        while self.backlog and self.busy < self.workers:
+            self.busy += 1
+            ticket, sent_ms = self.backlog.popleft()
+            self.at(
+                now_ms + self.work.pop(ticket), self.complete, ticket, sent_ms
+            )
+
+    def complete(self, now_ms, ticket, sent_ms):
+        self.busy -= 1
+        outcome = admission.Outcome.TIMEOUT
+        if now_ms <= ticket.deadline_ms:
+            outcome = admission.Outcome.OK
+            self.good[ticket.important][int(now_ms // BUCKET_MS)] += 1
+        verdicts = self.admission.finish(
+            ticket, outcome, now_ms - sent_ms, now_ms
+        )
+        self.apply(verdicts, now_ms)
+        self.serve(now_ms)
+
+    def good_per_s(self, start_ms, end_ms, kinds=(True, False)):
+        buckets = range(int(start_ms // BUCKET_MS), int(end_ms // BUCKET_MS))
+        total = sum(self.good[kind][b] for kind in kinds for b in buckets)
+        return total * 1000 / (end_ms - start_ms)
