--- a/mimosahaven/admission.py
+++ b/mimosahaven/admission.py
@@ -1,7 +1,6 @@
 """Admission control in front of the local target."""
 
 import dataclasses
-import math
 
 from mimosahaven import codes
 from mimosahaven import concurrency
@@ -13,6 +12,10 @@
 # A window this many times too long spans a pause of the process and says
 # nothing about the load.
 PAUSE_WINDOWS = 5
+# An overload is measured over at least this many admitted calls, or this many
+# windows: the excess among a few calls is mostly chance.
+ADMITTED_MIN = 30
+EXTENDED_WINDOWS = 5
 # Share of the calls that wait too long which one window removes. Removing
 # all at once leaves the target idle in the next window.
 DRAIN_SHARE = 0.25
@@ -96,6 +99,7 @@
         self._ordinary_running = 0
         self._window: _Window | None = None
         self._seen_ms = 0.0
+        self._judge_ms = 0.0
         self._important_mean = 0.0
         self._important_floor: int | None = None
         self._expected_ms = 0.0
@@ -112,7 +116,7 @@
         limit = self._algorithm.limit
         if not self._has_reserve or limit <= 1:
             return 0
-        wanted = math.ceil(self._important_mean)
+        wanted = int(self._important_mean)
         return max(
             1, min(wanted, int(limit * self._settings.reserve_share_max))
         )
@@ -264,6 +268,7 @@
         if window is None:
             window = self._window = _Window(now_ms)
             self._seen_ms = now_ms
+            self._judge_ms = now_ms + self._window_ms
         passed_ms = now_ms - self._seen_ms
         self._seen_ms = now_ms
         waiting_count = len(self._queue)
@@ -275,13 +280,22 @@
             important + self._queue.important_count
         )
         elapsed_ms = now_ms - window.start_ms
-        if elapsed_ms >= self._window_ms:
+        if now_ms < self._judge_ms:
+            return
+        self._judge_ms = now_ms + self._window_ms
+        if passed_ms > self._window_ms * PAUSE_WINDOWS:
+            self._threshold.hold()
+            self._window = _Window(now_ms)
+        elif self._judge(window, elapsed_ms):
             self._window = _Window(now_ms)
-            if elapsed_ms < self._window_ms * PAUSE_WINDOWS:
-                self._judge(window, elapsed_ms)
 
-    def _judge(self, window: _Window, elapsed_ms: float) -> None:
-        """Adapts threshold and reserve to what a window has shown."""
+    def _judge(self, window: _Window, elapsed_ms: float) -> bool:
+        """Adapts threshold and reserve to what a window has shown.
+
+        Returns:
+          False when the window must go on, because it shows overload but has
+          too few calls to tell by how much.
+        """
         if not window.finished:
             self._expected_ms *= SERVICE_DECAY
         important = window.important_ms / elapsed_ms
@@ -301,6 +315,11 @@
             or window.waiting_ms > target_ms * max(0, served)
         )
         if overloaded:
+            if (
+                window.admitted < ADMITTED_MIN
+                and elapsed_ms < self._window_ms * EXTENDED_WINDOWS
+            ):
+                return False
             allowed = max(0, served) * target_ms / elapsed_ms
             standing = max(0.0, len(self._queue) - allowed)
             excess = window.admitted - served + DRAIN_SHARE * standing
@@ -313,3 +332,4 @@
             self._threshold.hold()
         else:
             self._threshold.lower()
+        return True
--- a/mimosahaven/shedding.py
+++ b/mimosahaven/shedding.py
@@ -8,13 +8,15 @@
 
 from mimosahaven import settings as settings_lib
 
-# Priorities of recently admitted calls that stand for the histogram.
-HISTOGRAM_CALLS = 512
 # Smallest first step down: 1/64 of the priorities of one weight, so that a
 # threshold within the priorities of one weight is lowered gradually.
 STEP_MIN = 1024
 # A first step of 1/500 that doubles reaches 0 in 9 windows.
 STEP_DIVISOR = 500
+# Windows without overload at the threshold that last showed overload before it
+# may be lowered further. An overload takes up to this long to fill the queue;
+# without the stop, the threshold falls far below the right one meanwhile.
+PROBE_WINDOWS = 3
 # The largest share of the admitted calls that one window removes.
 EXCESS_SHARE_MAX = 0.9
 # Bound on remembered (first service, kind) pairs; kinds come from callers.
@@ -35,9 +37,9 @@
     def __init__(self):
         self._value = 0
         self._step = 0
-        self._admitted: collections.deque[int] = collections.deque(
-            maxlen=HISTOGRAM_CALLS
-        )
+        self._overload_value = 0
+        self._probes = 0
+        self._admitted: list[int] = []
 
     @property
     def value(self) -> int:
@@ -55,8 +57,8 @@
           excess_share: Share of the admitted calls to be removed, 0 to 1.
           ceiling: Highest threshold allowed, or None.
         """
-        self._step = 0
-        admitted = sorted(p for p in self._admitted if p >= self._value)
+        admitted = sorted(self._admitted)
+        self.hold()
         count = math.ceil(
             len(admitted) * min(EXCESS_SHARE_MAX, max(0.0, excess_share))
         )
@@ -65,21 +67,29 @@
         value = admitted[count] if count < len(admitted) else admitted[-1] + 1
         if ceiling is not None:
             value = min(value, ceiling)
-        self._value = max(self._value, value)
+        if value > self._value:
+            self._overload_value, self._value = self._value, value
 
     def hold(self) -> None:
         """Keeps the threshold after a window that used all capacity."""
-        self._step = 0
+        self._admitted.clear()
+        self._step = self._probes = 0
 
     def lower(self) -> None:
         """Lowers the threshold after a window with free capacity."""
+        self._admitted.clear()
         if not self._value:
             return
         if self._step:
             self._step *= 2
         else:
             self._step = max(STEP_MIN, math.ceil(self._value / STEP_DIVISOR))
-        self._value = max(0, self._value - self._step)
+        value = max(0, self._value - self._step)
+        if value < self._overload_value <= self._value:
+            self._probes += 1
+            if self._probes <= PROBE_WINDOWS:
+                value = self._overload_value
+        self._value = value
 
     def limit_to(self, ceiling: int) -> None:
         """Lowers the threshold to a ceiling at once."""
