--- a/mimosahaven/admission.py
+++ b/mimosahaven/admission.py
@@ -324,6 +324,7 @@
             standing = max(0.0, len(self._queue) - allowed)
             excess = window.admitted - served + DRAIN_SHARE * standing
             share = excess / window.admitted if window.admitted else 0.0
+            share *= 0.3 if self._threshold.value else 1.0
             ordinary = window.ordinary or self._ordinary_present()
             self._threshold.raise_by(
                 share, self._important_floor if ordinary else None
--- a/mimosahaven/concurrency.py
+++ b/mimosahaven/concurrency.py
@@ -13,6 +13,7 @@
 WINDOW_MS = 100.0
 # The mean of fewer calls varies too much to compare two latencies.
 LATENCY_SAMPLES_MIN = 30
+SETTLE_LATENCIES = 2.0
 # Calls lost one after another, with no other outcome between them, that show
 # that the target has stopped and will be cold when it returns.
 LOST_IN_SEQUENCE = 3
@@ -142,9 +143,10 @@
         self._window_end_ms: float | None = None
         self._warm_since_ms: float | None = None
         self._lost_in_sequence = 0
-        self._cut_ms = -math.inf
+        self._settled_ms = -math.inf
         self._latency_sum_ms = 0.0
         self._latency_count = 0
+        self._latency_ms = 0.0
 
     @property
     def limit(self) -> int:
@@ -166,9 +168,7 @@
         if outcome is Outcome.OK or outcome is Outcome.TIMEOUT:
             if self._warm_since_ms is None:
                 self._warm_since_ms = now_ms
-            # A call that started before the last cut of the limit does not
-            # show the effect of the cut.
-            if now_ms - service_ms >= self._cut_ms:
+            if now_ms >= self._settled_ms:
                 self._latency_sum_ms += service_ms
                 self._latency_count += 1
         if outcome is Outcome.TIMEOUT:
@@ -208,6 +208,7 @@
             return False
         mean_ms = self._latency_sum_ms / self._latency_count
         self._latency_sum_ms, self._latency_count = 0.0, 0
+        self._latency_ms = mean_ms
         return self._judge_latency(mean_ms, window.running_max, now_ms)
 
     @abc.abstractmethod
@@ -224,7 +225,10 @@
     def _cut(self, limit: float, floor: float, now_ms: float) -> None:
         self._raw = max(min(floor, self._raw), limit)
         self._growth = self._slots * GROWTH_SHARE_MIN
-        self._cut_ms = now_ms
+        # Calls that started before the cut do not show its effect. Leaving
+        # them out one by one would favour short calls, so that none counts
+        # until most of the older ones have ended.
+        self._settled_ms = now_ms + SETTLE_LATENCIES * self._latency_ms
         self._latency_sum_ms, self._latency_count = 0.0, 0
 
     def _grow(self, now_ms: float) -> None:
@@ -267,7 +271,8 @@
     # as much.
     NO_EFFECT_FACTOR = 0.87
     FALL_SHARE = 0.3
-    RISE_SHARE = 0.02
+    DRIFT_SHARE = 0.05
+    NOISE_FACTOR = 1.25
 
     def __init__(self, settings: settings_lib.Settings):
         super().__init__(settings)
@@ -303,13 +308,13 @@
         return self._trial is None
 
     def _learn(self, mean_ms: float, half_used: bool) -> None:
-        # A higher latency is normal only if the target has free slots;
+        # A clearly higher latency is normal only if the target has free slots;
         # otherwise the normal latency would creep up with congestion.
-        difference_ms = mean_ms - self._normal_ms
-        if difference_ms < 0:
-            self._normal_ms += difference_ms * self.FALL_SHARE
-        elif not half_used:
-            self._normal_ms += difference_ms * self.RISE_SHARE
+        if half_used and mean_ms > self._normal_ms * self.NOISE_FACTOR:
+            return
+        fast = mean_ms * self.TOLERANCE < self._normal_ms
+        share = self.FALL_SHARE if fast else self.DRIFT_SHARE
+        self._normal_ms += (mean_ms - self._normal_ms) * share
 
 
 @register("gradient")
