--- a/mimosahaven/admission.py
+++ b/mimosahaven/admission.py
@@ -19,6 +19,9 @@
 # Share of the calls that wait too long which one window removes. Removing
 # all at once leaves the target idle in the next window.
 DRAIN_SHARE = 0.25
+# Once the threshold is in force, the excess of one window is mostly chance.
+# Correcting all of it makes the threshold oscillate and wastes capacity.
+CORRECTION_SHARE = 0.3
 # Share of a window that calls must have waited for to keep the threshold.
 BUSY_SHARE = 0.5
 # Weight of one window in the mean concurrency of important calls, which is
@@ -323,8 +326,9 @@
             allowed = max(0, served) * target_ms / elapsed_ms
             standing = max(0.0, len(self._queue) - allowed)
             excess = window.admitted - served + DRAIN_SHARE * standing
-            share = excess / window.admitted if window.admitted else 0.0
-            share *= 0.3 if self._threshold.value else 1.0
+            share = excess / max(1, window.admitted)
+            if self._threshold.value:
+                share *= CORRECTION_SHARE
             ordinary = window.ordinary or self._ordinary_present()
             self._threshold.raise_by(
                 share, self._important_floor if ordinary else None
