--- a/mimosahaven/waiting.py
+++ b/mimosahaven/waiting.py
@@ -73,11 +73,14 @@
         """Returns the calls with a deadline before a time."""
         if before_ms <= self._first_deadline_ms:
             return []
-        late = [c for c in self._sequences if c.deadline_ms < before_ms]
-        self._first_deadline_ms = min(
-            (c.deadline_ms for c in self._sequences if c not in late),
-            default=math.inf,
-        )
+        late = []
+        first_ms = math.inf
+        for call in self._sequences:
+            if call.deadline_ms < before_ms:
+                late.append(call)
+            elif call.deadline_ms < first_ms:
+                first_ms = call.deadline_ms
+        self._first_deadline_ms = first_ms
         return late
 
     def _part(self, call: Waiter) -> list[tuple[int, int, Waiter]]:
--- a/tests/onetarget.py
+++ b/tests/onetarget.py
@@ -54,7 +54,10 @@
         self.backlog = collections.deque()
         self.good = {True: collections.Counter(), False: collections.Counter()}
         self.offered = {True: 0, False: 0}
-        self.refused = {True: collections.Counter(), False: collections.Counter()}
+        self.refused = {
+            True: collections.Counter(),
+            False: collections.Counter(),
+        }
         self.trace = []
         self.end_ms = max(load.end_ms for load in loads)
         self.busy = 0
@@ -74,7 +77,9 @@
 
     def tick(self, now_ms):
         self.apply(self.admission.tick(now_ms), now_ms)
-        self.trace.append((now_ms, self.admission.threshold(now_ms), self.admission.limit))
+        self.trace.append(
+            (now_ms, self.admission.threshold(now_ms), self.admission.limit)
+        )
         self.at(now_ms + 20, self.tick)
 
     def arrive(self, now_ms, load):
