--- a/mimosahaven/admission.py
+++ b/mimosahaven/admission.py
@@ -5,6 +5,7 @@
 from mimosahaven import codes
 from mimosahaven import concurrency
 from mimosahaven import identity
+from mimosahaven import overload
 from mimosahaven import settings as settings_lib
 from mimosahaven import shedding
 from mimosahaven import waiting
@@ -16,9 +17,6 @@
 # windows: the excess among a few calls is mostly chance.
 ADMITTED_MIN = 30
 EXTENDED_WINDOWS = 5
-# Share of the calls that wait too long which one window removes. Removing
-# all at once leaves the target idle in the next window.
-DRAIN_SHARE = 0.25
 # Once the threshold is in force, the excess of one window is mostly chance.
 # Correcting all of it makes the threshold oscillate and wastes capacity.
 CORRECTION_SHARE = 0.3
@@ -27,14 +25,6 @@
 # Weight of one window in the mean concurrency of important calls, which is
 # thus a mean over about 1 s.
 CONCURRENCY_SMOOTHING = 0.1
-# The expected service time follows the faster calls, so that a call of a fast
-# kind is not dropped because of slow kinds.
-SERVICE_FALL_SHARE = 0.3
-SERVICE_RISE_SHARE = 0.02
-SERVICE_MEAN_SHARE = 0.05
-# Without finished calls the expected service time is lowered by this factor
-# in each window, so that an overestimate cannot refuse calls for good.
-SERVICE_DECAY = 0.8
 
 Code = codes.Code
 Outcome = concurrency.Outcome
@@ -70,22 +60,6 @@
     refused: list[tuple[Ticket, Code]] = dataclasses.field(default_factory=list)
 
 
-@dataclasses.dataclass(slots=True)
-class _Window:
-    """What happened since start_ms; times are integrals over the window."""
-
-    start_ms: float
-    admitted: int = 0
-    ordinary: int = 0
-    started: int = 0
-    finished: int = 0
-    queue_refusals: int = 0
-    target_refusals: int = 0
-    waiting_ms: float = 0.0
-    busy_ms: float = 0.0
-    important_ms: float = 0.0
-
-
 class Admission:
     """Decides which calls run on the local target, and when."""
 
@@ -100,13 +74,12 @@
         self._queue = waiting.WaitingQueue()
         self._running = 0
         self._ordinary_running = 0
-        self._window: _Window | None = None
+        self._window: overload.LoadWindow | None = None
         self._seen_ms = 0.0
         self._judge_ms = 0.0
         self._important_mean = 0.0
         self._important_floor: int | None = None
-        self._expected_ms = 0.0
-        self._mean_ms = 0.0
+        self._service = overload.ServiceTime()
 
     @property
     def limit(self) -> int:
@@ -133,7 +106,7 @@
             return verdicts
         self._advance(now_ms)
         self._learn_floor(ticket)
-        if ticket.deadline_ms - now_ms < self._expected_ms:
+        if ticket.deadline_ms - now_ms < self._service.expected_ms:
             verdicts.refused.append((ticket, Code.DEADLINE_BEFORE_RUN))
         elif self._below_threshold(ticket):
             verdicts.refused.append((ticket, Code.SHED_AT_GUARD))
@@ -168,7 +141,7 @@
         if outcome is Outcome.REFUSED:
             self._window.target_refusals += 1
         elif outcome is Outcome.OK or outcome is Outcome.TIMEOUT:
-            self._learn_service_time(service_ms)
+            self._service.learn(service_ms)
         self._settle(verdicts, now_ms)
         return verdicts
 
@@ -209,7 +182,7 @@
         queue = self._queue
         if not len(queue):
             return
-        for ticket in queue.expired(now_ms + self._expected_ms):
+        for ticket in queue.expired(now_ms + self._service.expected_ms):
             self._give_up(ticket, Code.DEADLINE_BEFORE_RUN, verdicts)
         limit = self._algorithm.limit
         ordinary_limit = limit - self.reserve
@@ -259,40 +232,29 @@
             # The table has changed since.
             self._important_floor = None
 
-    def _learn_service_time(self, service_ms: float) -> None:
-        difference_ms = service_ms - self._expected_ms
-        share = SERVICE_FALL_SHARE if difference_ms < 0 else SERVICE_RISE_SHARE
-        self._expected_ms += difference_ms * share
-        self._mean_ms += (service_ms - self._mean_ms) * SERVICE_MEAN_SHARE
-
     def _advance(self, now_ms: float) -> None:
         """Brings the integrals up to the present and ends a window."""
         window = self._window
         if window is None:
-            window = self._window = _Window(now_ms)
+            window = self._window = overload.LoadWindow(now_ms)
             self._seen_ms = now_ms
             self._judge_ms = now_ms + self._window_ms
         passed_ms = now_ms - self._seen_ms
         self._seen_ms = now_ms
-        waiting_count = len(self._queue)
-        if waiting_count:
-            window.waiting_ms += waiting_count * passed_ms
-            window.busy_ms += passed_ms
+        queue = self._queue
         important = self._running - self._ordinary_running
-        window.important_ms += passed_ms * (
-            important + self._queue.important_count
-        )
+        window.advance(passed_ms, len(queue), important + queue.important_count)
         elapsed_ms = now_ms - window.start_ms
         if now_ms < self._judge_ms:
             return
         self._judge_ms = now_ms + self._window_ms
         if passed_ms > self._window_ms * PAUSE_WINDOWS:
             self._threshold.hold()
-            self._window = _Window(now_ms)
+            self._window = overload.LoadWindow(now_ms)
         elif self._judge(window, elapsed_ms):
-            self._window = _Window(now_ms)
+            self._window = overload.LoadWindow(now_ms)
 
-    def _judge(self, window: _Window, elapsed_ms: float) -> bool:
+    def _judge(self, window: overload.LoadWindow, elapsed_ms: float) -> bool:
         """Adapts threshold and reserve to what a window has shown.
 
         Returns:
@@ -300,33 +262,21 @@
           too few calls to tell by how much.
         """
         if not window.finished:
-            self._expected_ms *= SERVICE_DECAY
+            self._service.decay()
         important = window.important_ms / elapsed_ms
         self._important_mean += CONCURRENCY_SMOOTHING * (
             important - self._important_mean
         )
         target_ms = max(
             self._settings.queue_wait_target_ms,
-            self._settings.queue_wait_service_share * self._mean_ms,
-        )
-        served = window.started - window.target_refusals
-        # By Little's law, the mean wait is waiting_ms divided by the calls
-        # that were served.
-        overloaded = (
-            window.queue_refusals
-            or window.target_refusals
-            or window.waiting_ms > target_ms * max(0, served)
+            self._settings.queue_wait_service_share * self._service.mean_ms,
         )
-        if overloaded:
-            if (
-                window.admitted < ADMITTED_MIN
-                and elapsed_ms < self._window_ms * EXTENDED_WINDOWS
-            ):
+        if window.is_overloaded(target_ms):
+            extended = elapsed_ms >= self._window_ms * EXTENDED_WINDOWS
+            if window.admitted < ADMITTED_MIN and not extended:
                 return False
-            allowed = max(0, served) * target_ms / elapsed_ms
-            standing = max(0.0, len(self._queue) - allowed)
-            excess = window.admitted - served + DRAIN_SHARE * standing
-            share = excess / max(1, window.admitted)
+            allowed = window.served * target_ms / elapsed_ms
+            share = window.excess_share(len(self._queue) - allowed)
             if self._threshold.value:
                 share *= CORRECTION_SHARE
             ordinary = window.ordinary or self._ordinary_present()
--- a/mimosahaven/rowlimits.py
+++ b/mimosahaven/rowlimits.py
@@ -109,7 +109,7 @@
         self._settle(now_ms)
         buckets = {}
         for row in rows:
-            if row.rate_limit_per_s is None:
+            if row.rate_limit_per_s is None or row.row_id in buckets:
                 continue
             bucket = self._buckets.get(row.row_id)
             is_new = bucket is None
--- a/tests/onetarget.py
+++ b/tests/onetarget.py
@@ -45,10 +45,11 @@
     The target ignores deadlines, so it also works on calls that have expired.
     """
 
-    def __init__(self, settings, loads, seed=1, workers=SLOTS):
+    def __init__(self, settings, loads, seed=1, changes=()):
         self.rng = random.Random(seed)
         self.admission = admission.Admission(settings)
-        self.workers = workers
+        self.workers = SLOTS
+        self.slowness = 1.0
         self.events = []
         self.order = itertools.count()
         self.backlog = collections.deque()
@@ -59,10 +60,13 @@
             False: collections.Counter(),
         }
         self.trace = []
+        self.work = {}
         self.end_ms = max(load.end_ms for load in loads)
         self.busy = 0
         for load in loads:
             self.at(load.start_ms, self.arrive, load)
+        for time_ms, name, value in changes:
+            self.at(time_ms, lambda now, n, v: setattr(self, n, v), name, value)
         self.at(0.0, self.tick)
         while self.events:
             now_ms, _, action, arguments = heapq.heappop(self.events)
@@ -91,7 +95,6 @@
             "c", priority, load.important, now_ms + load.deadline_ms
         )
         self.offered[load.important] += 1
-        self.work = getattr(self, "work", {})
         self.work[ticket] = self.rng.expovariate(1 / load.service_ms)
         self.apply(self.admission.offer(ticket, now_ms), now_ms)
 
@@ -107,7 +110,10 @@
             self.busy += 1
             ticket, sent_ms = self.backlog.popleft()
             self.at(
-                now_ms + self.work.pop(ticket), self.complete, ticket, sent_ms
+                now_ms + self.work.pop(ticket) * self.slowness,
+                self.complete,
+                ticket,
+                sent_ms,
             )
 
     def complete(self, now_ms, ticket, sent_ms):
