--- a/mimosahaven/concurrency.py
+++ b/mimosahaven/concurrency.py
@@ -71,7 +71,7 @@
     """State before a series of cuts that may or may not lower the latency."""
 
     limit: float
-    latency_ms: float
+    latency_ms: float = 0.0
     cuts: int = 0
 
 
@@ -87,10 +87,11 @@
 
     TOLERANCE = 2.0
     FACTOR = 0.9
-    CUTS_PER_TRIAL = 3
-    # Three cuts lower the limit to 0.73; a latency caused by the limit falls
-    # as much.
-    NO_EFFECT_FACTOR = 0.87
+    CUTS_PER_TRIAL = 4
+    # Four cuts lower the limit to 0.66, and a latency caused by the limit falls
+    # as much. The factor leaves room for chance: a limit cut without need costs
+    # goodput, and one left too high is still bounded by the slots.
+    NO_EFFECT_FACTOR = 0.8
     # Weight of one mean in the normal latency: after a clear fall, otherwise.
     FALL_SHARE = 0.3
     DRIFT_SHARE = 0.05
@@ -113,14 +114,21 @@
             self._trial = None
             self._learn(mean_ms, half_used)
             return False
-        trial = self._trial = self._trial or _Trial(self._raw, mean_ms)
+        trial = self._trial
+        if trial is None:
+            # The latency may still be rising; it is measured again first.
+            self._trial = _Trial(self._raw)
+            self.cut(self._raw, self._floor, now_ms)
+            return True
         if trial.cuts == self.CUTS_PER_TRIAL:
             if mean_ms > trial.latency_ms * self.NO_EFFECT_FACTOR:
                 self._normal_ms = mean_ms
                 self._raw = max(self._raw, trial.limit)
                 self._trial = None
                 return False
-            trial = self._trial = _Trial(self._raw, mean_ms)
+            trial = self._trial = _Trial(self._raw)
+        if not trial.cuts:
+            trial.latency_ms = mean_ms
         trial.cuts += 1
         self.cut(self._raw * self.FACTOR, self._floor, now_ms)
         return True
--- a/mimosahaven/limits.py
+++ b/mimosahaven/limits.py
@@ -9,7 +9,7 @@
 
 WINDOW_MS = 100.0
 # The mean of fewer calls varies too much to compare two latencies.
-LATENCY_SAMPLES_MIN = 30
+LATENCY_SAMPLES_MIN = 50
 # Samples are left out for this many latencies after a cut, but not for longer
 # than the bound, after which the limit must be able to grow again.
 SETTLE_LATENCIES = 2.0
