--- a/mimosahaven/admission.py
+++ b/mimosahaven/admission.py
@@ -243,7 +243,12 @@
         self._seen_ms = now_ms
         queue = self._queue
         important = self._running - self._ordinary_running
-        window.advance(passed_ms, len(queue), important + queue.important_count)
+        window.advance(
+            passed_ms,
+            self._running,
+            len(queue),
+            important + queue.important_count,
+        )
         elapsed_ms = now_ms - window.start_ms
         if now_ms < self._judge_ms:
             return
@@ -286,5 +291,6 @@
         elif window.busy_ms > BUSY_SHARE * elapsed_ms:
             self._threshold.hold()
         else:
-            self._threshold.lower()
+            used = window.running_ms / elapsed_ms / self._algorithm.limit
+            self._threshold.lower(max(0.0, 1.0 - used))
         return True
--- a/mimosahaven/concurrency.py
+++ b/mimosahaven/concurrency.py
@@ -68,11 +68,15 @@
 
 @dataclasses.dataclass
 class _Trial:
-    """State before a series of cuts that may or may not lower the latency."""
+    """State before a cut that may or may not lower the latency.
+
+    Attributes:
+      limit: Limit before the cut.
+      latency_ms: Mean latency before the cut, 0 when still to be measured.
+    """
 
     limit: float
     latency_ms: float = 0.0
-    cuts: int = 0
 
 
 @register("aimd")
@@ -80,18 +84,15 @@
     """Cuts the limit by a factor on congestion and grows it otherwise.
 
     The latency of a target that calls other services also rises when these
-    are slow. After some cuts the latency is therefore compared with the one
+    are slow. The latency after a cut is therefore compared with the one
     before: if it has not fallen with the limit, the limit is not its cause,
     the limit is restored and the latency becomes the new normal.
     """
 
     TOLERANCE = 2.0
-    FACTOR = 0.9
-    CUTS_PER_TRIAL = 4
-    # Four cuts lower the limit to 0.66, and a latency caused by the limit falls
-    # as much. The factor leaves room for chance: a limit cut without need costs
-    # goodput, and one left too high is still bounded by the slots.
-    NO_EFFECT_FACTOR = 0.8
+    FACTOR = 0.7
+    # A latency caused by the limit falls to FACTOR; this is half way there.
+    NO_EFFECT_FACTOR = 0.85
     # Weight of one mean in the normal latency: after a clear fall, otherwise.
     FALL_SHARE = 0.3
     DRIFT_SHARE = 0.05
@@ -120,16 +121,14 @@
             self._trial = _Trial(self._raw)
             self.cut(self._raw, self._floor, now_ms)
             return True
-        if trial.cuts == self.CUTS_PER_TRIAL:
-            if mean_ms > trial.latency_ms * self.NO_EFFECT_FACTOR:
-                self._normal_ms = mean_ms
-                self._raw = max(self._raw, trial.limit)
-                self._trial = None
-                return False
-            trial = self._trial = _Trial(self._raw)
-        if not trial.cuts:
-            trial.latency_ms = mean_ms
-        trial.cuts += 1
+        if trial.latency_ms and (
+            mean_ms > trial.latency_ms * self.NO_EFFECT_FACTOR
+        ):
+            self._normal_ms = mean_ms
+            self._raw = max(self._raw, trial.limit)
+            self._trial = None
+            return False
+        self._trial = _Trial(self._raw, mean_ms)
         self.cut(self._raw * self.FACTOR, self._floor, now_ms)
         return True
 
--- a/mimosahaven/overload.py
+++ b/mimosahaven/overload.py
@@ -30,6 +30,7 @@
       target_refusals: Calls that the target itself refused.
       waiting_ms: Waiting calls, integrated over time.
       busy_ms: Time during which calls waited.
+      running_ms: Running calls, integrated over time.
       important_ms: Important calls, running and waiting, integrated over time.
     """
 
@@ -42,13 +43,17 @@
     target_refusals: int = 0
     waiting_ms: float = 0.0
     busy_ms: float = 0.0
+    running_ms: float = 0.0
     important_ms: float = 0.0
 
-    def advance(self, passed_ms: float, waiting: int, important: int) -> None:
+    def advance(
+        self, passed_ms: float, running: int, waiting: int, important: int
+    ) -> None:
         """Adds a time during which the counts did not change."""
         if waiting:
             self.waiting_ms += waiting * passed_ms
             self.busy_ms += passed_ms
+        self.running_ms += running * passed_ms
         self.important_ms += important * passed_ms
 
     @property
--- a/mimosahaven/shedding.py
+++ b/mimosahaven/shedding.py
@@ -13,10 +13,6 @@
 STEP_MIN = 1024
 # A first step of 1/500 that doubles reaches 0 in 9 windows.
 STEP_DIVISOR = 500
-# Windows without overload at the threshold that last showed overload before it
-# may be lowered further. An overload takes up to this long to fill the queue;
-# without the stop, the threshold falls far below the right one meanwhile.
-PROBE_WINDOWS = 3
 # The largest share of the admitted calls that one window removes.
 EXCESS_SHARE_MAX = 0.9
 # Bound on remembered (first service, kind) pairs; kinds come from callers.
@@ -37,8 +33,6 @@
     def __init__(self):
         self._value = 0
         self._step = 0
-        self._overload_value = 0
-        self._probes = 0
         self._admitted: list[int] = []
 
     @property
@@ -67,16 +61,24 @@
         value = admitted[count] if count < len(admitted) else admitted[-1] + 1
         if ceiling is not None:
             value = min(value, ceiling)
-        if value > self._value:
-            self._overload_value, self._value = self._value, value
+        self._value = max(self._value, value)
 
     def hold(self) -> None:
         """Keeps the threshold after a window that used all capacity."""
         self._admitted.clear()
-        self._step = self._probes = 0
+        self._step = 0
+
+    def lower(self, free_share: float) -> None:
+        """Lowers the threshold after a window without overload.
+
+        The priorities just below the threshold are taken to be as dense as
+        those just above it, so that the step lets in no more calls than the
+        free capacity can serve.
 
-    def lower(self) -> None:
-        """Lowers the threshold after a window with free capacity."""
+        Args:
+          free_share: Share of the capacity that was not used, 0 to 1.
+        """
+        admitted = sorted(self._admitted)
         self._admitted.clear()
         if not self._value:
             return
@@ -84,12 +86,11 @@
             self._step *= 2
         else:
             self._step = max(STEP_MIN, math.ceil(self._value / STEP_DIVISOR))
-        value = max(0, self._value - self._step)
-        if value < self._overload_value <= self._value:
-            self._probes += 1
-            if self._probes <= PROBE_WINDOWS:
-                value = self._overload_value
-        self._value = value
+        count = int(len(admitted) * free_share)
+        if count < len(admitted):
+            fitting = admitted[count] - self._value
+            self._step = min(self._step, max(STEP_MIN, fitting))
+        self._value = max(0, self._value - self._step)
 
     def limit_to(self, ceiling: int) -> None:
         """Lowers the threshold to a ceiling at once."""
--- a/tests/onetarget.py
+++ b/tests/onetarget.py
@@ -34,10 +34,6 @@
     deadline_ms: float = 1_000
     service_ms: float = SERVICE_MS
 
-    @property
-    def important(self):
-        return self.weight >= 50
-
 
 class Run:
     """Runs loads against a target with SLOTS workers and an endless queue.
@@ -46,7 +42,6 @@
     """
 
     def __init__(self, settings, loads, seed=1, changes=()):
-        self.rng = random.Random(seed)
         self.admission = admission.Admission(settings)
         self.workers = SLOTS
         self.slowness = 1.0
@@ -54,7 +49,6 @@
         self.order = itertools.count()
         self.backlog = collections.deque()
         self.good = {True: collections.Counter(), False: collections.Counter()}
-        self.offered = {True: 0, False: 0}
         self.refused = {
             True: collections.Counter(),
             False: collections.Counter(),
@@ -63,8 +57,10 @@
         self.work = {}
         self.end_ms = max(load.end_ms for load in loads)
         self.busy = 0
-        for load in loads:
-            self.at(load.start_ms, self.arrive, load)
+        for index, load in enumerate(loads):
+            # A load has the same arrivals whatever other loads there are.
+            rng = random.Random(f"{seed}/{index}")
+            self.at(load.start_ms, self.arrive, load, rng)
         for time_ms, name, value in changes:
             self.at(time_ms, lambda now, n, v: setattr(self, n, v), name, value)
         self.at(0.0, self.tick)
@@ -86,16 +82,17 @@
         )
         self.at(now_ms + 20, self.tick)
 
-    def arrive(self, now_ms, load):
-        next_ms = now_ms + self.rng.expovariate(load.per_s / 1000)
+    def arrive(self, now_ms, load, rng):
+        next_ms = now_ms + rng.expovariate(load.per_s / 1000)
         if next_ms < load.end_ms:
-            self.at(next_ms, self.arrive, load)
-        priority = load.weight * 65536 + self.rng.randrange(65536)
+            self.at(next_ms, self.arrive, load, rng)
         ticket = admission.Ticket(
-            "c", priority, load.important, now_ms + load.deadline_ms
+            "c",
+            load.weight * 65536 + rng.randrange(65536),
+            load.weight >= 50,
+            now_ms + load.deadline_ms,
         )
-        self.offered[load.important] += 1
-        self.work[ticket] = self.rng.expovariate(1 / load.service_ms)
+        self.work[ticket] = rng.expovariate(1 / load.service_ms)
         self.apply(self.admission.offer(ticket, now_ms), now_ms)
 
     def apply(self, verdicts, now_ms):
