--- a/mimosahaven/admission.py
+++ b/mimosahaven/admission.py
@@ -19,7 +19,7 @@
 EXTENDED_WINDOWS = 5
 # Once the threshold is in force, the excess of one window is mostly chance.
 # Correcting all of it makes the threshold oscillate and wastes capacity.
-CORRECTION_SHARE = 0.3
+CORRECTION_SHARE = 0.2
 # Share of a window that calls must have waited for to keep the threshold.
 BUSY_SHARE = 0.5
 # Weight of one window in the mean concurrency of important calls, which is
@@ -89,13 +89,7 @@
     @property
     def reserve(self) -> int:
         """Part of the limit that only important calls may use."""
-        limit = self._algorithm.limit
-        if not self._has_reserve or limit <= 1:
-            return 0
-        wanted = int(self._important_mean)
-        return max(
-            1, min(wanted, int(limit * self._settings.reserve_share_max))
-        )
+        return self._reserve_of(self._algorithm.limit)
 
     def offer(self, ticket: Ticket, now_ms: float) -> Verdicts:
         """Takes in a new call and returns the decisions that are due."""
@@ -185,17 +179,13 @@
         for ticket in queue.expired(now_ms + self._service.expected_ms):
             self._give_up(ticket, Code.DEADLINE_BEFORE_RUN, verdicts)
         limit = self._algorithm.limit
-        ordinary_limit = limit - self.reserve
-        while self._running < limit:
-            ticket = queue.highest()
-            if ticket is None:
-                return
-            if not ticket.important:
-                if self._ordinary_running >= ordinary_limit:
-                    break
-                self._ordinary_running += 1
+        reserve = self._reserve_of(limit)
+        while (ticket := queue.highest()) is not None:
+            if not self._has_room(ticket, limit, reserve):
+                break
             queue.remove(ticket)
             self._running += 1
+            self._ordinary_running += not ticket.important
             self._window.started += 1
             verdicts.run.append(ticket)
         bound = int(limit * self._settings.queue_factor)
@@ -204,6 +194,25 @@
             code = Code.QUEUE_FULL if ticket is new else Code.DISPLACED
             self._give_up(ticket, code, verdicts)
 
+    def _reserve_of(self, limit: int) -> int:
+        if not self._has_reserve or limit <= 1:
+            return 0
+        bound = int(limit * self._settings.reserve_share_max)
+        return max(1, min(int(self._important_mean), bound))
+
+    def _has_room(self, ticket: Ticket, limit: int, reserve: int) -> bool:
+        if ticket.important:
+            # After a cut of the limit, less important calls may hold more
+            # than the limit; the reserve remains usable within the slots.
+            important = self._running - self._ordinary_running
+            return self._running < limit or (
+                self._running < self._slots
+                and important < self._reserve_of(self._slots)
+            )
+        return (
+            self._running < limit and self._ordinary_running < limit - reserve
+        )
+
     def _give_up(self, ticket: Ticket, code: Code, verdicts: Verdicts) -> None:
         self._queue.remove(ticket)
         self._window.queue_refusals += 1
--- a/mimosahaven/limits.py
+++ b/mimosahaven/limits.py
@@ -90,7 +90,7 @@
         self._warm_since_ms: float | None = None
         self._lost_in_sequence = 0
         self._settled_ms = -math.inf
-        self._latency_sum_ms = 0.0
+        self._latency_log_sum = 0.0
         self._latency_count = 0
         self._timeouts = 0
         self._timed_out = False
@@ -117,7 +117,9 @@
             if self._warm_since_ms is None:
                 self._warm_since_ms = now_ms
             if now_ms >= self._settled_ms:
-                self._latency_sum_ms += service_ms
+                # The geometric mean depends less on a few slow kinds, whose
+                # share may change, than the arithmetic one.
+                self._latency_log_sum += math.log(max(service_ms, 0.01))
                 self._latency_count += 1
                 self._timeouts += outcome is Outcome.TIMEOUT
         elif outcome is Outcome.REFUSED:
@@ -155,7 +157,7 @@
         count = self._latency_count
         if count < TIMEOUT_SAMPLES_MIN:
             return False
-        mean_ms = self._latency_sum_ms / count
+        mean_ms = math.exp(self._latency_log_sum / count)
         if self._timeouts > TIMEOUT_SHARE_MAX * count:
             self._latency_ms = mean_ms
             self.cut(self._raw * TIMEOUT_FACTOR, self._floor, now_ms)
@@ -191,7 +193,7 @@
         self._drop_samples()
 
     def _drop_samples(self) -> None:
-        self._latency_sum_ms = 0.0
+        self._latency_log_sum = 0.0
         self._latency_count = self._timeouts = 0
 
     def _grow(self, now_ms: float) -> None:
