--- a/mimosahaven/admission.py
+++ b/mimosahaven/admission.py
@@ -86,11 +86,6 @@
         """Calls that may run at once."""
         return self._algorithm.limit if self._enabled else self._slots
 
-    @property
-    def reserve(self) -> int:
-        """Part of the limit that only important calls may use."""
-        return self._reserve_of(self._algorithm.limit)
-
     def offer(self, ticket: Ticket, now_ms: float) -> Verdicts:
         """Takes in a new call and returns the decisions that are due."""
         verdicts = Verdicts()
