Shed at the entry what a service below would shed, and limit rows

Cause: under surge and a slow deep service important requests failed as often as the rest, because every call reached the deepest service. Results now carry the shed thresholds of the services below; the entry sheds less important calls by them, and holds the rate limits of rows with tokens lent by peers. Excluded: a lower concurrency limit at the entry; it knows no priority.

--- a/mimosahaven/calls.py
+++ b/mimosahaven/calls.py
@@ -20,8 +20,7 @@
       priority: Shedding priority.
       deadline_ms: Deadline on this daemon's monotonic clock.
       budget: Part of the retry budget held here.
-      thresholds: Newest shed threshold of each service below: priority and
-        the time it was learnt.
+      used_services: Services below that its nested calls have reached.
       retry_count: Attempts after the first of the calls made for this one.
     """
 
@@ -33,9 +32,7 @@
     priority: int
     deadline_ms: float
     budget: budget_lib.ChainBudget
-    thresholds: dict[str, tuple[int, float]] = dataclasses.field(
-        default_factory=dict
-    )
+    used_services: set[str] = dataclasses.field(default_factory=set)
     retry_count: int = 0
     _children: int = 0
 
@@ -44,19 +41,6 @@
         self._children += 1
         return f"{self.call_id}.{self._children}"
 
-    def learn_threshold(
-        self, service: str, threshold: int, now_ms: float
-    ) -> None:
-        """Notes the shed threshold that a service below has reported."""
-        self.thresholds[service] = (threshold, now_ms)
-
-    def threshold_ages(self, now_ms: float) -> dict[str, tuple[int, float]]:
-        """Returns the threshold of each service below and its age in ms."""
-        return {
-            service: (threshold, now_ms - learnt_ms)
-            for service, (threshold, learnt_ms) in self.thresholds.items()
-        }
-
     def is_idempotent(self, method: str) -> bool:
         """Returns whether a call with this method may run twice."""
         return self.row.idempotent or method in SAFE_METHODS
--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -30,7 +30,9 @@
 from mimosahaven import platformclient
 from mimosahaven import router as router_lib
 from mimosahaven import routing
+from mimosahaven import rowlimits
 from mimosahaven import settings as settings_lib
+from mimosahaven import shedding
 from mimosahaven import table as table_lib
 from mimosahaven import targetclient
 
@@ -73,6 +75,8 @@
         self.metrics = metrics_lib.Metrics(
             settings.metrics, settings.target.name
         )
+        self.thresholds = shedding.ThresholdMap(settings)
+        self.row_limiter = rowlimits.RowLimiter(settings, self.rng)
         self.registry = calls.CallRegistry()
         self.fleet = fleet_lib.FleetView()
         self.hub = links_lib.LinkHub(settings, self.incarnation, self)
@@ -83,6 +87,7 @@
             self.fleet,
             self.chooser,
             self.attempts,
+            self.thresholds,
             self.log,
             self.metrics,
         )
@@ -93,6 +98,7 @@
             self.registry,
             self.client,
             self.lifecycle,
+            self.thresholds,
             self.log,
             self.metrics,
         )
@@ -112,6 +118,8 @@
                 self.attempts,
             ),
             self.lifecycle,
+            self.thresholds,
+            self.row_limiter,
             self.entry_stats,
         )
         self.dispatcher.on_event = self.observe
@@ -131,6 +139,7 @@
     def use_table(self, table: table_lib.Table) -> None:
         """Puts a table in force."""
         self.guard.table = table
+        self.row_limiter.apply_rows(table.rows, clock.monotonic_ms())
         self.dispatcher.table = table
         service = table.services.get(self.settings.target.service)
         self.client.not_run_statuses = frozenset(
@@ -184,7 +193,8 @@
     def _on_document(self, name, text: str, now_ms: float) -> None:
         if name is platformclient.DocumentName.LIST:
             listing = msgspec.json.decode(text, type=fleet_lib.MemberList)
-            self.fleet.apply_list(listing, now_ms)
+            if self.fleet.apply_list(listing, now_ms):
+                self.row_limiter.apply_list(listing.members, now_ms)
         else:
             self.use_table(table_lib.parse_table(text))
         if self.guard.table and self.fleet.members:
@@ -248,12 +258,16 @@
             self.hub.reply(route, self.guard.inquire(message, now_ms))
         elif isinstance(message, messages.Cancel):
             self.guard.cancel(message.call_id, now_ms)
+        elif isinstance(message, messages.TokenRequest):
+            self._lend(route, message, now_ms)
 
     def on_answer(self, link, message, now_ms) -> None:
         """Takes in a message from a peer that this daemon connected to."""
         self.observe(now_ms)
         if isinstance(message, messages.Result | messages.InquiryReply):
             self.attempts.on_answer(link, message)
+        elif isinstance(message, messages.TokenGrant):
+            self.row_limiter.receive(message.row, message.amount, now_ms)
 
     def on_link_up(self, link) -> None:
         """Learns that a link can be used."""
@@ -265,6 +279,24 @@
         self.chooser.learn_lost(link.target, clock.monotonic_ms())
         self.attempts.on_link_lost(link)
 
+    def _lend(self, route, request: messages.TokenRequest, now_ms) -> None:
+        amount = self.row_limiter.grant(request.row, request.amount, now_ms)
+        if amount:
+            self.hub.reply(route, messages.TokenGrant(request.row, amount))
+
+    def _borrow(self, now_ms: float) -> None:
+        for want in self.row_limiter.wanted(now_ms):
+            member = self.fleet.members.get(want.peer)
+            if member is None:
+                continue
+            link = self.hub.link_to(
+                member.target, member.host, member.link_port
+            )
+            if link.up.is_set():
+                link.send(
+                    messages.TokenRequest(want.row_id, want.amount), now_ms
+                )
+
     async def _run_call(self, route, call, waited_ms, now_ms) -> None:
         if call.forwarded:
             result = await self._serve_forwarded(call, waited_ms, now_ms)
@@ -313,6 +345,7 @@
             self.observe(now_ms)
             self.guard.tick(now_ms)
             self.hub.tick(now_ms)
+            self._borrow(now_ms)
             self.log.flush()
             self.metrics.tick(now_ms)
             await asyncio.sleep(TICK_MS / 1000)
--- a/mimosahaven/dispatch.py
+++ b/mimosahaven/dispatch.py
@@ -16,7 +16,9 @@
 from mimosahaven import messages
 from mimosahaven import ownerlink
 from mimosahaven import router as router_lib
+from mimosahaven import rowlimits
 from mimosahaven import settings as settings_lib
+from mimosahaven import shedding
 from mimosahaven import table as table_lib
 
 Code = codes.Code
@@ -79,6 +81,8 @@
         actions: actions_lib.ActionRegistry,
         owners: ownerlink.OwnerLink,
         lifecycle: lifecycle_lib.Lifecycle,
+        thresholds: shedding.ThresholdMap,
+        row_limiter: rowlimits.RowLimiter,
         stats: entrystats.EntryStats,
     ):
         self._settings = settings
@@ -87,6 +91,8 @@
         self._actions = actions
         self._owners = owners
         self._lifecycle = lifecycle
+        self._thresholds = thresholds
+        self._row_limiter = row_limiter
         self._stats = stats
         self._running: dict[identity.ActionId, asyncio.Future] = {}
         self._in_flight_count = 0
@@ -292,12 +298,36 @@
             deadline_ms=deadline_ms,
             budget=decision.budget,
         )
+        refused = self._refuse_run(call, context)
+        if refused is not None:
+            self._stats.refuse(decision.call_id, refused)
+            return router_lib.Routed(attempts.refusal("", 0, refused))
         routed = await self._router.call(
             _request(call, decision.call_id, context)
         )
         self._stats.count_retries(row, context.retry_count)
+        if routed.result.code == Code.OK:
+            self._thresholds.learn_use(
+                call.service,
+                call.kind,
+                context.used_services - {call.service},
+            )
         return routed
 
+    def _refuse_run(
+        self, call: IncomingCall, context: calls.CallContext
+    ) -> Code | None:
+        """Returns why the entry refuses a call that it would route."""
+        now_ms = clock.monotonic_ms()
+        important = context.row.weight >= self.table.important_weight
+        if self._thresholds.shed(
+            call.service, call.kind, context.priority, important, now_ms
+        ):
+            return Code.SHED_AT_ENTRY
+        if not self._row_limiter.take(context.row, now_ms):
+            return Code.ROW_LIMIT
+        return None
+
 
 def _request(
     call: IncomingCall, call_id: str, context: calls.CallContext
--- a/mimosahaven/guard.py
+++ b/mimosahaven/guard.py
@@ -17,6 +17,7 @@
 from mimosahaven import messages
 from mimosahaven import metrics as metrics_lib
 from mimosahaven import settings as settings_lib
+from mimosahaven import shedding
 from mimosahaven import table as table_lib
 from mimosahaven import targetclient
 
@@ -34,11 +35,13 @@
         registry: calls.CallRegistry,
         client: targetclient.TargetClient,
         lifecycle: lifecycle_lib.Lifecycle,
+        thresholds: shedding.ThresholdMap,
         log: decisions.DecisionLog,
         metrics: metrics_lib.Metrics,
     ):
         self._settings = settings
         self._lifecycle = lifecycle
+        self._thresholds = thresholds
         self._log = log
         self._metrics = metrics
         self._incarnation = incarnation
@@ -223,7 +226,9 @@
         result.status = answer.status
         result.headers = answer.headers
         result.body = answer.body
-        result.thresholds = context.threshold_ages(now_ms)
+        result.thresholds = self._thresholds.export(
+            context.used_services, now_ms
+        )
         return result
 
     def _refuse(self, call: messages.Call, code: Code) -> messages.Result:
--- a/mimosahaven/router.py
+++ b/mimosahaven/router.py
@@ -14,6 +14,7 @@
 from mimosahaven import metrics as metrics_lib
 from mimosahaven import routing
 from mimosahaven import settings as settings_lib
+from mimosahaven import shedding
 
 Code = codes.Code
 RunState = codes.RunState
@@ -81,6 +82,7 @@
         fleet: fleet_lib.FleetView,
         chooser: routing.Chooser,
         sender: attempts.Attempts,
+        thresholds: shedding.ThresholdMap,
         log: decisions.DecisionLog,
         metrics: metrics_lib.Metrics,
     ):
@@ -90,6 +92,7 @@
         self._fleet = fleet
         self._chooser = chooser
         self._sender = sender
+        self._thresholds = thresholds
         self._ratio = budget_lib.RetryRatio(settings)
         self.attempt_count = 0
         self.retry_count = 0
@@ -231,7 +234,8 @@
         result: messages.Result,
         now_ms: float,
     ) -> None:
-        for below, (threshold, age_ms) in result.thresholds.items():
-            context.learn_threshold(below, threshold, now_ms - age_ms)
+        context.used_services.update(result.thresholds)
+        self._thresholds.learn_all(result.thresholds, now_ms)
         if Code(result.code) not in _LOCAL:
-            context.learn_threshold(service, result.threshold, now_ms)
+            context.used_services.add(service)
+            self._thresholds.learn(service, result.threshold, 0.0, now_ms)
--- a/mimosahaven/settingsdoc.py
+++ b/mimosahaven/settingsdoc.py
@@ -41,6 +41,15 @@
     "admission.cold_limit_share": "Share of `slots` a cold target starts at.",
     "admission.slow_start_ms": "Time over which a cold target's limit rises.",
     "admission.reserve_share_max": "Largest share reserved for important rows.",
+    "admission.queue_wait_service_share": (
+        "Queue wait that counts as overload, as a share of the service time."
+    ),
+    "row_limits.burst_ms": "Time that a full bucket of tokens lasts.",
+    "row_limits.ask_interval_ms": "Interval between requests for tokens.",
+    "row_limits.ask_fanout": "Peers that are asked for tokens at once.",
+    "row_limits.ask_again_ms": "Pause before the same peer is asked again.",
+    "row_limits.ahead_ms": "Demand that a daemon keeps or borrows tokens for.",
+    "row_limits.keep_borrowed_ms": "Time after which borrowed tokens lapse.",
     "shedding.window_ms": "Interval between changes of the shed threshold.",
     "shedding.expiry_ms": "Time after which a learnt threshold has no effect.",
     "shedding.probe_one_in": "One in this many shed calls is let through.",
