--- a/mimosahaven/peers.py
+++ b/mimosahaven/peers.py
@@ -45,7 +45,7 @@
         """Returns the number of listed daemons other than the own one."""
         return len(self._view.members.keys() - {self._own.name})
 
-    def seeds(self, settings: settings_lib.Settings) -> list[fleet_lib.Member]:
+    def seeds(self) -> list[fleet_lib.Member]:
         """Returns the seeds as members, without the own endpoint."""
         return [
             fleet_lib.Member(
--- a/mimosahaven/table.py
+++ b/mimosahaven/table.py
@@ -147,6 +147,11 @@
     source: str
     first_ms: float
 
+    def describe(self) -> str:
+        """Returns the fault in one line."""
+        fault = self.fault
+        return f"{Code(fault.code).name} from {self.source}: {fault.detail}"
+
 
 class TableStore:
     """The table in force and the faults of tables that were refused.
--- a/tests/test_platformclient.py
+++ b/tests/test_platformclient.py
@@ -21,6 +21,7 @@
     """A client, what it has read, and access to the fake platform."""
 
     def __init__(self, endpoint: dict, http: aiohttp.ClientSession):
+        self.endpoint = endpoint
         self.base = f"http://{endpoint['host']}:{endpoint['port']}"
         self.http = http
         self.versions = {TABLE: 0, LIST: 0}
