--- a/tests/test_platformclient.py
+++ b/tests/test_platformclient.py
@@ -21,6 +21,7 @@
     """A client, what it has read, and access to the fake platform."""
 
     def __init__(self, endpoint: dict, http: aiohttp.ClientSession):
+        self.endpoint = endpoint
         self.base = f"http://{endpoint['host']}:{endpoint['port']}"
         self.http = http
         self.versions = {TABLE: 0, LIST: 0}
@@ -53,7 +54,7 @@
         if "bad" not in text:
             self.versions[name] += 1
 
-    def _on_contact(self, now_ms):
+    def _on_contact(self, name, now_ms):
         self.contacts += 1
 
     async def put(self, path, **options):
