--- a/mimosahaven/quarantine.py
+++ b/mimosahaven/quarantine.py
@@ -191,6 +191,25 @@
         case.held_until_ms = float("-inf")
         return True
 
+    def recent_strikes(
+        self, now_ms: float, count_max: int
+    ) -> list[messages.Strike]:
+        """Returns strikes that count, newest cases first, for gossip.
+
+        They also reach daemons that were cut off or not yet started when the
+        strikes were published.
+        """
+        strikes: list[messages.Strike] = []
+        for fingerprint, case in reversed(self._cases.items()):
+            if len(strikes) >= count_max:
+                break
+            if case.is_suspect(now_ms):
+                strikes += [
+                    messages.Strike(fingerprint, crash_id, alone)
+                    for crash_id, alone in case.crashes.items()
+                ]
+        return strikes[:count_max]
+
     def sweep(self, now_ms: float) -> None:
         """Forgets expired cases, and the oldest ones beyond the bound."""
         while self._cases:
