Connect membership by gossip, the quarantine and the status page

Cause: every daemon watched the platform by itself and lost its view with it, a call that crashes its target went on crashing others, and the status said nothing but the state. The daemon is now assembled from membership, inbox, peer links, quarantine and status page; links without use are closed. Excluded: strikes for a lost daemon; only the guard sees which call it ran.

--- a/mimosahaven/admission.py
+++ b/mimosahaven/admission.py
@@ -86,6 +86,16 @@
         """Calls that may run at once."""
         return self._algorithm.limit if self._enabled else self._slots
 
+    @property
+    def running(self) -> int:
+        """Calls that run on the target."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Calls that wait."""
+        return len(self._queue)
+
     def offer(self, ticket: Ticket, now_ms: float) -> Verdicts:
         """Takes in a new call and returns the decisions that are due."""
         verdicts = Verdicts()
--- a/mimosahaven/decisions.py
+++ b/mimosahaven/decisions.py
@@ -76,6 +76,11 @@
     decisions: list[Decision]
 
 
+def encode_page(page: DecisionPage) -> bytes:
+    """Encodes the answer to a request for decisions as JSON."""
+    return msgspec.json.encode(page)
+
+
 class LineSink:
     """Writes lines to a file descriptor and drops them when it is full.
 
--- a/mimosahaven/guard.py
+++ b/mimosahaven/guard.py
@@ -16,8 +16,11 @@
 from mimosahaven import lifecycle as lifecycle_lib
 from mimosahaven import messages
 from mimosahaven import metrics as metrics_lib
+from mimosahaven import quarantine as quarantine_lib
 from mimosahaven import settings as settings_lib
 from mimosahaven import shedding
+from mimosahaven import status as status_lib
+from mimosahaven import suspects as suspects_lib
 from mimosahaven import table as table_lib
 from mimosahaven import targetclient
 
@@ -36,12 +39,14 @@
         client: targetclient.TargetClient,
         lifecycle: lifecycle_lib.Lifecycle,
         thresholds: shedding.ThresholdMap,
+        quarantine: quarantine_lib.Quarantine,
         log: decisions.DecisionLog,
         metrics: metrics_lib.Metrics,
     ):
         self._settings = settings
         self._lifecycle = lifecycle
         self._thresholds = thresholds
+        self.suspects = suspects_lib.Suspects(quarantine, client)
         self._log = log
         self._metrics = metrics
         self._incarnation = incarnation
@@ -95,6 +100,17 @@
             self._apply(self._admission.withdraw(ticket, now_ms))
             self._settle(ticket, Code.DEADLINE_BEFORE_RUN)
 
+    def status(self, now_ms: float) -> status_lib.GuardStatus:
+        """Returns the state for the status page."""
+        return status_lib.GuardStatus(
+            limit=self._admission.limit,
+            running=self._admission.running,
+            waiting=self._admission.waiting,
+            threshold=self._admission.threshold(now_ms),
+            ledger_records=len(self.ledger),
+            refusals=dict(self.refusals),
+        )
+
     def tick(self, now_ms: float) -> None:
         """Takes the decisions that time makes due."""
         self._apply(self._admission.tick(now_ms))
@@ -163,6 +179,11 @@
     async def _admit_and_dispatch(
         self, call: messages.Call, context: calls.CallContext
     ) -> messages.Result:
+        fingerprint = identity.fingerprint(
+            call.caller, call.kind, call.method, call.path, call.body
+        )
+        if not await self.suspects.wait(fingerprint, context.deadline_ms):
+            return self._refuse(call, Code.QUARANTINED)
         ticket = admission_lib.Ticket(
             call.call_id,
             context.priority,
@@ -174,7 +195,7 @@
             code = await self._admit(ticket)
             if code is not None:
                 return self._refuse(call, code)
-            return await self._dispatch(call, context, ticket)
+            return await self._dispatch(call, context, ticket, fingerprint)
         finally:
             self._tickets.pop(call.call_id, None)
 
@@ -200,8 +221,12 @@
         call: messages.Call,
         context: calls.CallContext,
         ticket: admission_lib.Ticket,
+        fingerprint: str,
     ) -> messages.Result:
         started_ms = clock.monotonic_ms()
+        if not self.suspects.start(fingerprint, started_ms):
+            self._finish(ticket, admission_lib.Outcome.ERROR, started_ms)
+            return self._refuse(call, Code.QUARANTINED)
         self._registry.add(context)
         self._log.decide(
             decisions.Part.GUARD,
@@ -211,17 +236,16 @@
             attempt=call.attempt,
         )
         outcome = admission_lib.Outcome.LOST
+        complete = False
         try:
             answer = await self._client.send(call, context)
             outcome = answer.outcome
+            complete = answer.status != 0
         finally:
             self._registry.remove(call.call_id)
-            now_ms = clock.monotonic_ms()
-            self._apply(
-                self._admission.finish(
-                    ticket, outcome, now_ms - started_ms, now_ms
-                )
-            )
+            await self.suspects.end(fingerprint, complete, outcome)
+            self._finish(ticket, outcome, started_ms)
+        now_ms = clock.monotonic_ms()
         result = self._result(call, answer.code, context.budget.remaining)
         result.status = answer.status
         result.headers = answer.headers
@@ -231,6 +255,17 @@
         )
         return result
 
+    def _finish(
+        self,
+        ticket: admission_lib.Ticket,
+        outcome: admission_lib.Outcome,
+        started_ms: float,
+    ) -> None:
+        now_ms = clock.monotonic_ms()
+        self._apply(
+            self._admission.finish(ticket, outcome, now_ms - started_ms, now_ms)
+        )
+
     def _refuse(self, call: messages.Call, code: Code) -> messages.Result:
         self.refusals[code.name] += 1
         self._metrics.count(Metric.REFUSALS, suffix=code.name)
--- /dev/null
+++ b/mimosahaven/inbox.py
@@ -0,0 +1,150 @@
+"""Takes in the messages of other daemons and passes them to the parts."""
+
+import msgspec
+
+from mimosahaven import attempts as attempts_lib
+from mimosahaven import clock
+from mimosahaven import codes
+from mimosahaven import dispatch
+from mimosahaven import guard as guard_lib
+from mimosahaven import lifecycle as lifecycle_lib
+from mimosahaven import links as links_lib
+from mimosahaven import membership as membership_lib
+from mimosahaven import messages
+from mimosahaven import metrics as metrics_lib
+from mimosahaven import peerlinks
+from mimosahaven import quarantine as quarantine_lib
+from mimosahaven import routing
+from mimosahaven import rowlimits
+from mimosahaven import tasks as tasks_lib
+
+Code = codes.Code
+
+
+class Inbox(links_lib.Handler):
+    """The handler of all links of a daemon.
+
+    The attributes are set by the daemon once its parts are made.
+    """
+
+    attempts: attempts_lib.Attempts
+    chooser: routing.Chooser
+    dispatcher: dispatch.Dispatcher
+    guard: guard_lib.Guard
+    lifecycle: lifecycle_lib.Lifecycle
+    membership: membership_lib.Membership
+    metrics: metrics_lib.Metrics
+    peers: peerlinks.PeerLinks
+    quarantine: quarantine_lib.Quarantine
+    row_limiter: rowlimits.RowLimiter
+
+    def __init__(self, incarnation: str, tasks: tasks_lib.Tasks):
+        self._incarnation = incarnation
+        self._tasks = tasks
+        # Called with the present time before any other work of a message.
+        self.on_event = lambda now_ms: None
+
+    def on_request(self, route, message, waited_ms, now_ms) -> None:
+        """Takes in a message from a peer that connected to this daemon."""
+        self.on_event(now_ms)
+        match message:
+            case messages.Call():
+                self._tasks.spawn(
+                    self._run_call(route, message, waited_ms, now_ms)
+                )
+            case messages.Inquire():
+                self._reply(route, self.guard.inquire(message, now_ms))
+            case messages.Cancel():
+                self.guard.cancel(message.call_id, now_ms)
+            case messages.TokenRequest():
+                self._lend(route, message, now_ms)
+            case messages.Strike():
+                self.quarantine.learn(message, now_ms)
+            case messages.Clear():
+                self.quarantine.learn_clear(message)
+            case _:
+                self.membership.on_message(
+                    message,
+                    lambda answer: self._reply(route, answer),
+                    now_ms,
+                    route.target,
+                    waited_ms,
+                )
+
+    def on_answer(self, link, message, now_ms) -> None:
+        """Takes in a message from a peer that this daemon connected to."""
+        self.on_event(now_ms)
+        match message:
+            case messages.Result() | messages.InquiryReply():
+                self.attempts.on_answer(link, message)
+            case messages.TokenGrant():
+                self.row_limiter.receive(message.row, message.amount, now_ms)
+            case _:
+                self.membership.on_message(
+                    message,
+                    lambda answer: link.send(answer, clock.monotonic_ms()),
+                    now_ms,
+                    link.target,
+                )
+
+    def on_link_up(self, link) -> None:
+        """Learns that a link can be used."""
+        now_ms = clock.monotonic_ms()
+        self.chooser.learn_up(link.target, now_ms)
+        self.peers.on_link_up(link, now_ms)
+
+    def on_link_lost(self, link, reason) -> None:
+        """Learns that a link was replaced."""
+        del reason
+        self.metrics.count(metrics_lib.Metric.LINKS_LOST)
+        self.chooser.learn_lost(link.target, clock.monotonic_ms())
+        self.attempts.on_link_lost(link)
+
+    def _reply(self, route, message: messages.Message) -> None:
+        self.peers.reply(route, message)
+
+    def _lend(self, route, request: messages.TokenRequest, now_ms) -> None:
+        amount = self.row_limiter.grant(request.row, request.amount, now_ms)
+        if amount:
+            self._reply(route, messages.TokenGrant(request.row, amount))
+
+    async def _run_call(self, route, call, waited_ms, now_ms) -> None:
+        if call.forwarded:
+            result = await self._serve_forwarded(call, waited_ms, now_ms)
+        else:
+            result = await self.guard.run(call, waited_ms, now_ms)
+        self._reply(route, result)
+
+    async def _serve_forwarded(
+        self, call: messages.Call, waited_ms: float, now_ms: float
+    ) -> messages.Result:
+        """Serves a request that another entry took for this owner."""
+        refused = self.lifecycle.refuse_call(now_ms)
+        if call.incarnation != self._incarnation:
+            refused = Code.WRONG_INCARNATION
+        elif call.remaining_ms <= waited_ms:
+            refused = Code.DEADLINE_BEFORE_RUN
+        if refused is not None:
+            return attempts_lib.not_run(call, refused)
+        with self.dispatcher.in_flight():
+            served = await self.dispatcher.serve(
+                dispatch.IncomingCall(
+                    service=call.service,
+                    method=call.method,
+                    path=call.path,
+                    headers=call.headers,
+                    body=call.body,
+                    caller=call.caller,
+                    kind=call.kind,
+                    action_id=call.action_id,
+                    key=call.key,
+                    remaining_ms=call.remaining_ms - waited_ms,
+                    forwarded=True,
+                )
+            )
+        return msgspec.structs.replace(
+            served.result,
+            call_id=call.call_id,
+            attempt=call.attempt,
+            run_state=served.run_state.value,
+        )
--- a/mimosahaven/lifecycle.py
+++ b/mimosahaven/lifecycle.py
@@ -10,7 +10,7 @@
 
 
 class State(enum.Enum):
-    """States of a daemon; LEAVING is final."""
+    """States of a daemon."""
 
     STARTING = "starting"
     READY = "ready"
@@ -30,6 +30,12 @@
         self._drain = settings.mechanisms.drain
         self._ready = False
         self._leaving = False
+        self._listed_leaving = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether the start has ended."""
+        return self._ready
 
     def make_ready(self) -> None:
         """Ends the start."""
@@ -39,14 +45,13 @@
         """Begins to leave; there is no way back."""
         self._leaving = True
 
-    @property
-    def leaving(self) -> bool:
-        """Whether the daemon is leaving."""
-        return self._leaving
+    def set_listed_leaving(self, listed_leaving: bool) -> None:
+        """Takes in whether the platform lists the target as leaving."""
+        self._listed_leaving = listed_leaving
 
     def state(self, now_ms: float) -> State:
         """Returns the present state."""
-        if self._leaving:
+        if self._leaving or self._listed_leaving:
             return State.LEAVING
         if not self._ready:
             return State.STARTING
@@ -69,7 +74,7 @@
         return refused
 
     def _refuse(self) -> Code | None:
-        if self._leaving and self._drain:
+        if (self._leaving or self._listed_leaving) and self._drain:
             return Code.LEAVING
         if not self._ready:
             return Code.STARTING
--- a/mimosahaven/links.py
+++ b/mimosahaven/links.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
 
 import zmq
 from loguru import logger
 from zmq.utils import monitor as zmq_monitor
 
+from mimosahaven import channel as channel_lib
 from mimosahaven import clock
 from mimosahaven import clockskew
 from mimosahaven import errors
@@ -15,71 +15,11 @@
 from mimosahaven import settings as settings_lib
 
 PREFIX = "link:"
-# Bounds the time that one wake-up keeps the loop from other work.
-MESSAGES_PER_WAKEUP = 64
 STOP_LINGER_MS = 1_000
 # A route that has sent nothing for this long is forgotten.
 ROUTE_TTL_MS = 60_000
 
 
-class Channel:
-    """A non-blocking ZeroMQ socket on the event loop."""
-
-    def __init__(
-        self,
-        socket: zmq.Socket,
-        on_frames: Callable[[list[bytes]], None],
-    ):
-        self._socket = socket
-        self._on_frames = on_frames
-        self._loop = asyncio.get_running_loop()
-        self._fd = socket.getsockopt(zmq.FD)
-        self._closed = False
-        self._scheduled = False
-        self._loop.add_reader(self._fd, self._drain)
-
-    def send(self, frames: list[bytes]) -> bool:
-        """Sends without blocking; returns False when it cannot."""
-        if self._closed:
-            return False
-        try:
-            self._socket.send_multipart(frames, zmq.NOBLOCK)
-        except zmq.ZMQError:
-            return False
-        finally:
-            # The file descriptor is edge-triggered: a send can consume the
-            # edge of a message that has arrived meanwhile.
-            self._schedule()
-        return True
-
-    def close(self, linger_ms: int = 0) -> None:
-        """Closes the socket; unsent messages are sent within linger_ms."""
-        if self._closed:
-            return
-        self._closed = True
-        self._loop.remove_reader(self._fd)
-        self._socket.close(linger=linger_ms)
-
-    def _schedule(self) -> None:
-        if self._scheduled or self._closed:
-            return
-        if self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
-            self._scheduled = True
-            self._loop.call_soon(self._drain)
-
-    def _drain(self) -> None:
-        self._scheduled = False
-        for _ in range(MESSAGES_PER_WAKEUP):
-            if self._closed:
-                return
-            try:
-                frames = self._socket.recv_multipart(zmq.NOBLOCK)
-            except zmq.ZMQError:
-                return
-            self._on_frames(frames)
-        self._schedule()
-
-
 @dataclasses.dataclass
 class Route:
     """The way back to a peer that has connected to this daemon.
@@ -117,14 +57,16 @@
         socket.setsockopt(zmq.SNDHWM, hub.settings.links.high_water_messages)
         socket.setsockopt(zmq.RECONNECT_IVL, 50)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1_000)
-        self._monitor = Channel(
+        self._monitor = channel_lib.Channel(
             socket.get_monitor_socket(
                 zmq.EVENT_CONNECTED | zmq.EVENT_DISCONNECTED
             ),
             self._on_event,
         )
         self._socket = socket
-        self._channel = Channel(socket, self._on_frames)
+        self._channel = channel_lib.Channel(
+            socket, self._on_frames, hub.traffic
+        )
         socket.connect(endpoint)
 
     def send(self, message: messages.Message, now_ms: float) -> bool:
@@ -208,9 +150,10 @@
         self.handler = handler
         self.context = zmq.Context()
         self.malformed_count = 0
+        self.traffic = channel_lib.Traffic()
         self._links: dict[str, Link] = {}
         self._routes: dict[bytes, Route] = {}
-        self._server: Channel | None = None
+        self._server: channel_lib.Channel | None = None
 
     def start(self) -> None:
         """Binds the socket that peers connect to.
@@ -227,7 +170,9 @@
         socket.setsockopt(zmq.RCVHWM, self.settings.links.high_water_messages)
         link = self.settings.link
         socket.bind(f"tcp://{link.host}:{link.port}")
-        self._server = Channel(socket, self._on_frames)
+        self._server = channel_lib.Channel(
+            socket, self._on_frames, self.traffic
+        )
 
     def stop(self) -> None:
         """Closes all sockets."""
@@ -293,7 +238,12 @@
         """Sends heartbeats and replaces silent links."""
         limits = self.settings.links
         for link in list(self._links.values()):
-            if now_ms - link.last_used_ms > limits.idle_ms:
+            unused_ms = now_ms - link.last_used_ms
+            if unused_ms > limits.close_ms:
+                link.close()
+                del self._links[link.target]
+                continue
+            if unused_ms > limits.idle_ms:
                 link.last_heard_ms = now_ms
                 continue
             if now_ms - link.last_heard_ms > limits.silence_ms:
--- a/mimosahaven/quarantine.py
+++ b/mimosahaven/quarantine.py
@@ -6,6 +6,7 @@
 
 from mimosahaven import messages
 from mimosahaven import settings as settings_lib
+from mimosahaven import status as status_lib
 
 
 class Admittance(enum.Enum):
@@ -210,6 +211,20 @@
                 ]
         return strikes[:count_max]
 
+    def statuses(self, now_ms: float) -> list[status_lib.QuarantineStatus]:
+        """Returns the fingerprints that are suspect or held."""
+        return [
+            status_lib.QuarantineStatus(
+                fingerprint=fingerprint,
+                strikes=len(case.crashes),
+                held=now_ms < case.held_until_ms,
+                remaining_ms=max(case.held_until_ms, case.suspect_until_ms)
+                - now_ms,
+            )
+            for fingerprint, case in self._cases.items()
+            if case.is_suspect(now_ms)
+        ]
+
     def sweep(self, now_ms: float) -> None:
         """Forgets expired cases, and the oldest ones beyond the bound."""
         while self._cases:
--- a/mimosahaven/settings.py
+++ b/mimosahaven/settings.py
@@ -144,6 +144,7 @@
     heartbeat_ms: PositiveMs = 500
     silence_ms: PositiveMs = 1_200
     idle_ms: PositiveMs = 5_000
+    close_ms: PositiveMs = 20_000
     high_water_messages: Count = 10_000
 
 
--- a/mimosahaven/status.py
+++ b/mimosahaven/status.py
@@ -141,6 +141,9 @@
       platform_contact_age_ms: Age of the newest contact with the platform
         that this daemon knows of, None when it knows of none.
       results_unmatched: Duplicate, late and foreign results dropped.
+      messages_malformed: Messages of other daemons that were dropped.
+      bytes_sent: Bytes of all messages to other daemons since the start.
+      bytes_received: Bytes of all messages from other daemons.
       log_lines_dropped: Log lines that standard error did not take.
     """
 
@@ -163,6 +166,9 @@
     quarantine: list[QuarantineStatus] = []
     pauses: PauseStatus = PauseStatus()
     results_unmatched: int = 0
+    messages_malformed: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
     log_lines_dropped: int = 0
 
 
--- /dev/null
+++ b/mimosahaven/suspects.py
@@ -0,0 +1,102 @@
+"""Runs calls under the rules of the quarantine and notices crashes."""
+
+import asyncio
+from collections.abc import Callable
+
+from mimosahaven import admission as admission_lib
+from mimosahaven import clock
+from mimosahaven import messages
+from mimosahaven import quarantine as quarantine_lib
+from mimosahaven import targetclient
+
+Admittance = quarantine_lib.Admittance
+
+# Interval at which a suspect asks again whether it may run.
+RETRY_MS = 10.0
+
+
+class Suspects:
+    """Applies the quarantine to the calls of the local target.
+
+    Attributes:
+      on_strikes: Called with the strikes of a crash.
+      on_clear: Called when a suspect content has succeeded.
+    """
+
+    def __init__(
+        self,
+        quarantine: quarantine_lib.Quarantine,
+        client: targetclient.TargetClient,
+    ):
+        self._quarantine = quarantine
+        self._client = client
+        self._probe: asyncio.Task | None = None
+        self.on_strikes: Callable[[list[messages.Strike]], None] = (
+            lambda strikes: None
+        )
+        self.on_clear: Callable[[messages.Clear], None] = lambda clear: None
+
+    async def wait(self, fingerprint: str, deadline_ms: float) -> bool:
+        """Waits until a content may run; returns False when it may not."""
+        while True:
+            now_ms = clock.monotonic_ms()
+            admittance = self._quarantine.admit(fingerprint, now_ms)
+            if admittance is not Admittance.BUSY:
+                return admittance is not Admittance.REFUSE
+            if now_ms >= deadline_ms:
+                return False
+            await asyncio.sleep(RETRY_MS / 1000)
+
+    def start(self, fingerprint: str, now_ms: float) -> bool:
+        """Takes in that a call is dispatched; returns False if it may not.
+
+        A call may have become suspect, or another suspect may have started,
+        while this one waited for admission.
+        """
+        admittance = self._quarantine.admit(fingerprint, now_ms)
+        if admittance in (Admittance.BUSY, Admittance.REFUSE):
+            return False
+        self._quarantine.start(fingerprint, now_ms)
+        return True
+
+    async def end(
+        self, fingerprint: str, complete: bool, outcome: admission_lib.Outcome
+    ) -> None:
+        """Takes in the end of a call that was started.
+
+        Args:
+          fingerprint: Content of the call.
+          complete: Whether the target gave a complete answer.
+          outcome: How the call ended.
+        """
+        if complete:
+            now_ms = clock.monotonic_ms()
+            clear = self._quarantine.succeed(fingerprint, now_ms)
+            if clear is not None:
+                self.on_clear(clear)
+            return
+        if outcome is admission_lib.Outcome.LOST and await self._crashed():
+            return
+        self._quarantine.end(fingerprint)
+
+    async def _crashed(self) -> bool:
+        """Probes the target once for all calls that were lost together.
+
+        The calls count as in flight until the probe has ended, so that each
+        of them gets its strike.
+        """
+        if self._probe is None:
+            self._probe = asyncio.get_running_loop().create_task(
+                self._probe_target()
+            )
+        return await asyncio.shield(self._probe)
+
+    async def _probe_target(self) -> bool:
+        up = await self._client.accepts_connections()
+        self._probe = None
+        if up:
+            return False
+        strikes = self._quarantine.crash(clock.monotonic_ms())
+        if strikes:
+            self.on_strikes(strikes)
+        return True
--- a/mimosahaven/targetclient.py
+++ b/mimosahaven/targetclient.py
@@ -1,5 +1,6 @@
 """HTTP client towards the local target."""
 
+import asyncio
 import dataclasses
 
 import aiohttp
@@ -17,6 +18,8 @@
 # Below the idle limit of common HTTP servers (5 s), since a request on a
 # connection that the target is just closing has an unknown outcome.
 KEEPALIVE_S = 2.0
+# Longest time for a probe whether the target is up.
+PROBE_S = 0.5
 # Headers that hold for one connection only (RFC 9110, section 7.6.1), or
 # that the HTTP library sets by itself.
 HOP_HEADERS = frozenset(
@@ -110,6 +113,19 @@
         except (aiohttp.ClientError, OSError):
             return Answer(Code.TARGET_LOST, Outcome.LOST)
 
+    async def accepts_connections(self) -> bool:
+        """Returns whether the target accepts a new connection."""
+        endpoint = self._settings.target.endpoint
+        try:
+            _, writer = await asyncio.wait_for(
+                asyncio.open_connection(endpoint.host, endpoint.port),
+                PROBE_S,
+            )
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
     def _answer(self, response: aiohttp.ClientResponse, body: bytes) -> Answer:
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
