--- a/mimosahaven/settings.py
+++ b/mimosahaven/settings.py
@@ -66,6 +66,9 @@
     algorithm: str = "aimd"
     queue_factor: Annotated[float, pydantic.Field(ge=0, le=10)] = 1.0
     queue_wait_target_ms: PositiveMs = 20
+    # Where the mean service time is long, a wait of this share of it is no
+    # overload: it also occurs by chance below the capacity.
+    queue_wait_service_share: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.5
     cold_limit_share: Annotated[float, pydantic.Field(gt=0, le=1)] = 0.2
     slow_start_ms: PositiveMs = 5_000
     reserve_share_max: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.5
