--- a/mimosahaven/admission.py
+++ b/mimosahaven/admission.py
@@ -282,10 +282,8 @@
         """
         if not window.finished:
             self._service.decay()
-        important = window.important_ms / elapsed_ms
-        self._important_mean += CONCURRENCY_SMOOTHING * (
-            important - self._important_mean
-        )
+        change = window.important_ms / elapsed_ms - self._important_mean
+        self._important_mean += CONCURRENCY_SMOOTHING * change
         target_ms = max(
             self._settings.queue_wait_target_ms,
             self._settings.queue_wait_service_share * self._service.mean_ms,
--- a/mimosahaven/settings.py
+++ b/mimosahaven/settings.py
@@ -89,7 +89,7 @@
     Attributes:
       burst_ms: Time whose tokens a bucket holds at most.
       ask_interval_ms: Time between two rounds of requests to peers.
-      ask_fanout: Peers asked for tokens of one row in one round.
+      ask_fanout: Requests for tokens in one round, over all rows.
       ask_again_ms: Time before the same peer is asked again.
       ahead_ms: Time for which a daemon keeps or borrows tokens in advance.
       keep_borrowed_ms: Time after which borrowed tokens above the burst
--- a/mimosahaven/targetclient.py
+++ b/mimosahaven/targetclient.py
@@ -89,7 +89,7 @@
         """Sends one call and waits for the whole answer."""
         remaining_ms = context.deadline_ms - clock.monotonic_ms()
         if remaining_ms <= 0:
-            return Answer(Code.DEADLINE_BEFORE_RUN, Outcome.REFUSED)
+            return Answer(Code.DEADLINE_BEFORE_RUN, Outcome.ERROR)
         headers = [*call.headers]
         headers.append((CONTEXT_HEADER, call.call_id))
         headers.append((DEADLINE_HEADER, f"{remaining_ms:.0f}"))
