Add the measured runs

The overload experiment runs this version beside the naive version on each seed, alternating, and compares the medians with bounds from the stated goals.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measured runs."""
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,199 @@
+"""Measured comparison of this version and the naive version."""
+
+import asyncio
+import json
+import pathlib
+import signal
+import statistics
+import sys
+import time
+
+import click
+import rich.console
+import rich.table
+
+from bench import addedtime
+from mimosahaven import loadplan
+from mimosahaven import loadreport
+from mimosahaven.testing import deployments
+from mimosahaven.testing import experiment
+from mimosahaven.testing import invariants
+from mimosahaven.testing import runner as runner_lib
+
+DIRECTORY = pathlib.Path(__file__).parent
+RESULTS = DIRECTORY / "results"
+BOUNDS = DIRECTORY / "bounds.json"
+DEPLOYMENTS = {d.name: d for d in (deployments.SKOVGAARD, deployments.UMURAGE)}
+VARIANTS = ("full", "naive")
+# A quarter of the slots, held three times as long: three times the capacity
+# stays below the rate of one load process, and so do its re-sends.
+SLOTS_FACTOR = 0.25
+SERVICE_TIME_FACTOR = 3.0
+DURATIONS = experiment.Durations(6.0, 6.0, 8.0, 5.0, 15.0)
+RESEND = loadplan.Resend(timeout_ms=1_000, resends=2)
+CONSOLE_WIDTH = 120
+
+
+def figures(
+    outcome: experiment.Outcome, deployment: deployments.Deployment
+) -> dict:
+    """Returns the figures that the goals are stated in."""
+    phases = outcome.result["phases"]
+    calm, surge = phases[experiment.CALM], phases[experiment.SURGE]
+    slow = phases[experiment.SLOW]
+    capacity_per_s = deployment.capacity_per_s()
+    return {
+        "capacity_per_s": capacity_per_s,
+        "important_goodput_share": surge["important_success_share"]
+        / max(calm["important_success_share"], 1e-9),
+        "total_goodput_of_capacity": surge["completed_per_s"] / capacity_per_s,
+        "slow_goodput_of_capacity": slow["completed_per_s"]
+        * experiment.SLOW_FACTOR
+        / capacity_per_s,
+        "slow_important_share": slow["important_success_share"],
+        "recovery_s": outcome.result["recovery_s"],
+        "sends_per_request": surge["sends"] / surge["offered"],
+        "generator_lag_p99_ms": outcome.result["generator_lag"]["p99_ms"],
+        "violations": invariants.counts(outcome.violations),
+    }
+
+
+async def run_one(
+    deployment: deployments.Deployment, variant: str, seed: int
+) -> experiment.Outcome:
+    """Runs one experiment on processes of its own."""
+    async with runner_lib.Runner(deployment, variant, seed) as runner:
+        plan = experiment.make_plan(runner, DURATIONS, RESEND, seed)
+        return await experiment.carry_out(runner, plan)
+
+
+async def run_overload(names: list[str], seeds: list[int], report: bool):
+    """Runs the overload experiment and returns one line for each run."""
+    lines = []
+    for name in names:
+        deployment = DEPLOYMENTS[name].scaled(
+            slots=SLOTS_FACTOR, service_time=SERVICE_TIME_FACTOR
+        )
+        for seed in seeds:
+            results = {}
+            # The variants alternate, so that other load meets both alike.
+            for variant in VARIANTS:
+                outcome = await run_one(deployment, variant, seed)
+                results[f"{name}, {variant}, seed {seed}"] = outcome.result
+                line = {"deployment": name, "variant": variant, "seed": seed}
+                line |= figures(outcome, deployment)
+                print(json.dumps(line), file=sys.stderr)
+                phases = outcome.result["phases"]
+                codes = outcome.result["codes"]
+                lines.append(line | {"phases": phases, "codes": codes})
+            if report:
+                loadreport.write_report(results, RESULTS / f"{name}-{seed}")
+    return lines
+
+
+def middle(lines: list[dict], key: str) -> float | None:
+    """Returns the median over seeds; None counts as infinite."""
+    values = [
+        float("inf") if line[key] is None else line[key] for line in lines
+    ]
+    return statistics.median(values)
+
+
+def check_bounds(lines: list[dict], added: list[dict]) -> list[str]:
+    """Returns the bounds that this version breaks."""
+    bounds = json.loads(BOUNDS.read_text(encoding="utf-8"))
+    faults = []
+
+    def at_least(what: str, value: float, key: str) -> None:
+        if value < bounds[key]:
+            faults.append(f"{what} {value:.3f} < {bounds[key]} ({key})")
+
+    def at_most(what: str, value: float, key: str) -> None:
+        if value > bounds[key]:
+            faults.append(f"{what} {value:.3f} > {bounds[key]} ({key})")
+
+    for name in sorted({line["deployment"] for line in lines}):
+        own = [
+            line
+            for line in lines
+            if line["deployment"] == name and line["variant"] == "full"
+        ]
+        for key in ("important_goodput_share", "total_goodput_of_capacity"):
+            at_least(name, middle(own, key), f"{key}_min")
+        at_most(name, middle(own, "recovery_s"), "recovery_s_max")
+        violations = sum(sum(line["violations"].values()) for line in own)
+        at_most(name, violations, "violations_max")
+    if added:
+        p99_ms = statistics.median(line["added"]["p99_ms"] for line in added)
+        at_most("added time", p99_ms, "added_p99_ms_max")
+    return faults
+
+
+def make_table(lines: list[dict]) -> rich.table.Table:
+    """Returns one row for each run."""
+    table = rich.table.Table(title="Surge 3x, then slow deepest service")
+    columns = {
+        "important_goodput_share": "important goodput",
+        "total_goodput_of_capacity": "goodput of capacity",
+        "slow_goodput_of_capacity": "the same, slow",
+        "recovery_s": "recovery s",
+        "sends_per_request": "sends/request",
+    }
+    for column in ("deployment", "variant", "seed", *columns.values()):
+        table.add_column(column)
+    table.add_column("violations")
+    for line in lines:
+        cells = [line["deployment"], line["variant"], str(line["seed"])]
+        for key in columns:
+            value = line[key]
+            cells.append("never" if value is None else f"{value:.2f}")
+        cells.append(str(sum(line["violations"].values())))
+        table.add_row(*cells)
+    return table
+
+
+def write_result(name: str, lines: list[dict]) -> None:
+    """Writes a result file."""
+    RESULTS.mkdir(exist_ok=True)
+    text = json.dumps({"time": time.strftime("%F %T"), "runs": lines}, indent=1)
+    (RESULTS / f"{name}.json").write_text(text + "\n", encoding="utf-8")
+
+
+async def run(names: list[str], seeds: list[int], report: bool) -> int:
+    """Runs everything and returns the exit code."""
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel
+    )
+    console = rich.console.Console(width=CONSOLE_WIDTH)
+    added = [await addedtime.measure(seed) for seed in seeds]
+    write_result("added_time", added)
+    for line in added:
+        console.print(f"added ms {line['added']}, noise {line['noise']}")
+    lines = await run_overload(names, seeds, report)
+    if lines:
+        write_result("overload", lines)
+        console.print(make_table(lines))
+    faults = check_bounds(lines, added)
+    for fault in faults:
+        console.print(f"out of bounds: {fault}", highlight=False)
+    return 1 if faults else 0
+
+
+@click.command()
+@click.option(
+    "--deployment",
+    "names",
+    multiple=True,
+    type=click.Choice([*DEPLOYMENTS, "none"]),
+    default=tuple(DEPLOYMENTS),
+)
+@click.option("--seed", "seeds", multiple=True, type=int, default=(1, 2, 3))
+@click.option("--report", is_flag=True, help="Write reports with plots.")
+def main(names: tuple[str, ...], seeds: tuple[int, ...], report: bool) -> None:
+    """Runs the measured comparisons; the exit code is 1 out of bounds."""
+    chosen = [name for name in names if name in DEPLOYMENTS]
+    sys.exit(asyncio.run(run(chosen, list(seeds), report)))
+
+
+if __name__ == "__main__":
+    main()
