--- a/bench/run.py
+++ b/bench/run.py
@@ -25,10 +25,10 @@
 BOUNDS = DIRECTORY / "bounds.json"
 DEPLOYMENTS = {d.name: d for d in (deployments.SKOVGAARD, deployments.UMURAGE)}
 VARIANTS = ("full", "naive")
-# A quarter of the slots, held three times as long: three times the capacity
-# stays below the rate of one load process, and so do its re-sends.
-SLOTS_FACTOR = 0.25
-SERVICE_TIME_FACTOR = 3.0
+# Fewer slots that are held longer: three times the capacity, with re-sends,
+# stays well below the rate of one load process and of the machine.
+SLOTS_FACTOR = 0.2
+SERVICE_TIME_FACTOR = 4.0
 DURATIONS = experiment.Durations(6.0, 6.0, 8.0, 5.0, 15.0)
 RESEND = loadplan.Resend(timeout_ms=1_000, resends=2)
 CONSOLE_WIDTH = 120
