Keep the HTTP library from sending again by itself

aiohttp repeats GET, PUT and DELETE once when a pooled connection breaks: a server that resets the second request saw three requests for two sends. In the load tool and in the fake target such a send was missing in the record.

--- a/mimosahaven/load.py
+++ b/mimosahaven/load.py
@@ -262,7 +262,11 @@
 
 def make_session() -> aiohttp.ClientSession:
     """Returns a client without a limit of connections."""
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0),
         cookie_jar=aiohttp.DummyCookieJar(),
     )
+    # The library re-sends GET by itself on a broken pooled connection; such
+    # a send would be missing in the record.
+    session._retry_connection = False
+    return session
--- a/mimosahaven/loadresult.py
+++ b/mimosahaven/loadresult.py
@@ -137,9 +137,19 @@
             success_share(important) if important else None
         ),
         "latency": _latencies(requests),
+        "important_codes": _codes(important),
     }
 
 
+def _codes(requests: list[load.Request]) -> dict[str, int]:
+    """Counts the sends by result code, or by error without an answer."""
+    return collections.Counter(
+        str(send.code or send.error or send.status)
+        for request in requests
+        for send in request.sends
+    )
+
+
 def completed_per_s(
     requests: list[load.Request], start_s: float, end_s: float
 ) -> float:
@@ -212,11 +222,7 @@
             {"second": second, "kind": kind, **dataclasses.asdict(counts)}
             for (second, kind), counts in sorted(seconds.items())
         ],
-        "codes": collections.Counter(
-            str(send.code or send.error or send.status)
-            for request in requests
-            for send in request.sends
-        ),
+        "codes": _codes(requests),
         "generator_lag": lag.as_dict(),
         **_recovery(plan, requests),
     }
--- a/mimosahaven/testing/targetcore.py
+++ b/mimosahaven/testing/targetcore.py
@@ -245,6 +245,9 @@
                 connector=aiohttp.TCPConnector(limit=0),
                 timeout=aiohttp.ClientTimeout(total=None),
             )
+            # The library re-sends GET by itself on a broken pooled
+            # connection, which would count as a retry of the daemon.
+            self._session._retry_connection = False
         return self._session
 
 
