--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -10,12 +10,15 @@
 import uvicorn
 from loguru import logger
 
+from mimosahaven import actions as actions_lib
 from mimosahaven import attempts
 from mimosahaven import calls
 from mimosahaven import clock
+from mimosahaven import codes
 from mimosahaven import decisions
 from mimosahaven import dispatch
 from mimosahaven import entry
+from mimosahaven import entrystats
 from mimosahaven import fleet as fleet_lib
 from mimosahaven import guard as guard_lib
 from mimosahaven import identity
@@ -23,6 +26,7 @@
 from mimosahaven import links as links_lib
 from mimosahaven import messages
 from mimosahaven import metrics as metrics_lib
+from mimosahaven import ownerlink
 from mimosahaven import platformclient
 from mimosahaven import router as router_lib
 from mimosahaven import routing
@@ -92,12 +96,23 @@
             self.log,
             self.metrics,
         )
+        self.actions = actions_lib.ActionRegistry(
+            settings, settings.target.name, self.incarnation
+        )
+        self.entry_stats = entrystats.EntryStats(self.log, self.metrics)
         self.dispatcher = dispatch.Dispatcher(
             settings,
-            self.incarnation,
             self.registry,
             self.router,
+            self.actions,
+            ownerlink.OwnerLink(
+                settings.target.name,
+                self.incarnation,
+                self.fleet,
+                self.attempts,
+            ),
             self.lifecycle,
+            self.entry_stats,
         )
         self.dispatcher.on_event = self.observe
         self._tasks: set[asyncio.Task] = set()
@@ -251,10 +266,47 @@
         self.attempts.on_link_lost(link)
 
     async def _run_call(self, route, call, waited_ms, now_ms) -> None:
-        result = await self.guard.run(call, waited_ms, now_ms)
+        if call.forwarded:
+            result = await self._serve_forwarded(call, waited_ms, now_ms)
+        else:
+            result = await self.guard.run(call, waited_ms, now_ms)
         if not self.hub.reply(route, result):
             logger.info("guard: {} no way back", call.call_id)
 
+    async def _serve_forwarded(
+        self, call: messages.Call, waited_ms: float, now_ms: float
+    ) -> messages.Result:
+        """Serves a request that another entry took for this owner."""
+        refused = self.lifecycle.refuse_call(now_ms)
+        if call.incarnation != self.incarnation:
+            refused = codes.Code.WRONG_INCARNATION
+        elif call.remaining_ms <= waited_ms:
+            refused = codes.Code.DEADLINE_BEFORE_RUN
+        if refused is not None:
+            return attempts.not_run(call, refused)
+        with self.dispatcher.in_flight():
+            served = await self.dispatcher.serve(
+                dispatch.IncomingCall(
+                    service=call.service,
+                    method=call.method,
+                    path=call.path,
+                    headers=call.headers,
+                    body=call.body,
+                    caller=call.caller,
+                    kind=call.kind,
+                    action_id=call.action_id,
+                    key=call.key,
+                    remaining_ms=call.remaining_ms - waited_ms,
+                    forwarded=True,
+                )
+            )
+        return msgspec.structs.replace(
+            served.result,
+            call_id=call.call_id,
+            attempt=call.attempt,
+            run_state=served.run_state.value,
+        )
+
     async def _tick_forever(self) -> None:
         while True:
             now_ms = clock.monotonic_ms()
--- a/mimosahaven/dispatch.py
+++ b/mimosahaven/dispatch.py
@@ -1,32 +1,38 @@
 """Serves incoming calls: identity, row, deadline, then the router."""
 
+import asyncio
 import contextlib
 import dataclasses
 from collections.abc import Callable
 
+from mimosahaven import actions as actions_lib
 from mimosahaven import attempts
-from mimosahaven import budget as budget_lib
 from mimosahaven import calls
 from mimosahaven import clock
 from mimosahaven import codes
+from mimosahaven import entrystats
 from mimosahaven import identity
 from mimosahaven import lifecycle as lifecycle_lib
 from mimosahaven import messages
+from mimosahaven import ownerlink
 from mimosahaven import router as router_lib
 from mimosahaven import settings as settings_lib
 from mimosahaven import table as table_lib
 
 Code = codes.Code
+RunState = codes.RunState
+Step = actions_lib.Step
 
 
 @dataclasses.dataclass
 class IncomingCall:
-    """A request as it arrived at the entry.
+    """A request as it arrived at an entry.
 
     Attributes:
       parent_id: Call of the local target that this call is made for, empty
         for a request of a caller.
       remaining_ms: Time left as the caller stated it, or None.
+      forwarded: True when another entry took the request for this owner.
     """
 
     service: str
@@ -40,35 +46,49 @@
     key: str = ""
     parent_id: str = ""
     remaining_ms: float | None = None
+    forwarded: bool = False
 
 
 @dataclasses.dataclass
 class ServedCall:
-    """What the entry answers."""
+    """What the entry answers.
+
+    Attributes:
+      run_state: Whether any run of the action ran; it may say more than the
+        code of the last result.
+    """
 
     result: messages.Result
+    run_state: RunState
     action_id: str = ""
     next_action_id: str = ""
 
 
+def _served(result: messages.Result, action_id: str = "") -> ServedCall:
+    return ServedCall(result, result.told_state(), action_id)
+
+
 class Dispatcher:
     """Serves the calls that arrive at this daemon's entry."""
 
     def __init__(
         self,
         settings: settings_lib.Settings,
-        incarnation: str,
         registry: calls.CallRegistry,
         router: router_lib.Router,
+        actions: actions_lib.ActionRegistry,
+        owners: ownerlink.OwnerLink,
         lifecycle: lifecycle_lib.Lifecycle,
+        stats: entrystats.EntryStats,
     ):
         self._settings = settings
-        self._lifecycle = lifecycle
         self._registry = registry
         self._router = router
-        self._issuer = identity.ActionIdIssuer(
-            settings.target.name, incarnation
-        )
+        self._actions = actions
+        self._owners = owners
+        self._lifecycle = lifecycle
+        self._stats = stats
+        self._running: dict[identity.ActionId, asyncio.Future] = {}
         self._in_flight_count = 0
         # Called with the present time before any other work of a request.
         self.on_event: Callable[[float], None] = lambda now_ms: None
@@ -90,50 +110,178 @@
 
     def issue_action_id(self) -> str:
         """Returns an unused action id."""
-        return str(self._issuer.issue(clock.monotonic_ms()))
+        return str(self._actions.issue(clock.monotonic_ms()))
 
     def refuse_early(self, parent_id: str) -> Code | None:
         """Returns why a request is refused before its body is read."""
-        if parent_id and self._registry.get(parent_id):
-            return None
         now_ms = clock.monotonic_ms()
         self.on_event(now_ms)
+        if parent_id and self._registry.get(parent_id):
+            return None
         return self._lifecycle.refuse_request(now_ms)
 
     async def serve(self, call: IncomingCall) -> ServedCall:
         """Serves one request of a caller or of the local target."""
         parent = self._registry.get(call.parent_id) if call.parent_id else None
         if parent is not None:
-            return ServedCall(await self._serve_nested(call, parent))
-        return await self._serve_fresh(call)
+            return await self._serve_nested(call, parent)
+        row = self.table.row_for(call.caller, call.kind)
+        if row is None:
+            code = Code.UNKNOWN_KIND
+            if not self.table.knows_caller(call.caller):
+                code = Code.UNKNOWN_CALLER
+            return _served(attempts.refusal("", 0, code))
+        served = await self._serve_action(call, row)
+        self._stats.count(row, served.result)
+        if not call.forwarded:
+            served.next_action_id = self.issue_action_id()
+        return served
 
     async def _serve_nested(
         self, call: IncomingCall, parent: calls.CallContext
-    ) -> messages.Result:
+    ) -> ServedCall:
         routed = await self._router.call(
-            router_lib.Request(
-                call_id=parent.next_child_id(),
-                context=parent,
-                service=call.service,
-                method=call.method,
-                path=call.path,
-                headers=call.headers,
-                body=call.body,
-            )
+            _request(call, parent.next_child_id(), parent)
         )
-        return routed.result
+        return _served(routed.result)
 
-    async def _serve_fresh(self, call: IncomingCall) -> ServedCall:
+    async def _serve_action(
+        self, call: IncomingCall, row: table_lib.Row
+    ) -> ServedCall:
         now_ms = clock.monotonic_ms()
-        action_id = call.action_id or self.issue_action_id()
-        row = self.table.row_for(call.caller, call.kind)
-        if row is None:
-            return ServedCall(
-                attempts.refusal("", 0, Code.UNKNOWN_KIND), action_id
-            )
-        deadline_ms = row.deadline_ms
+        remaining_ms = row.deadline_ms
         if call.remaining_ms is not None:
-            deadline_ms = min(deadline_ms, call.remaining_ms)
+            remaining_ms = min(remaining_ms, call.remaining_ms)
+        deadline_ms = now_ms + remaining_ms
+        request = actions_lib.ActionRequest(
+            caller=call.caller,
+            fingerprint=identity.fingerprint(
+                call.caller,
+                call.kind,
+                call.method,
+                f"/{call.service}{call.path}",
+                call.body,
+            ),
+            idempotent=row.idempotent or call.method in calls.SAFE_METHODS,
+            retry_budget=row.retry_budget,
+            action_id=call.action_id,
+            key=call.key,
+            forwarded=call.forwarded,
+        )
+        decision = self._actions.decide(request, now_ms)
+        if decision.step is Step.FORWARD:
+            served = await self._forward(call, decision.owner, deadline_ms)
+            if served is not None:
+                return served
+            decision = self._actions.decide_without_owner(
+                request, Code.OWNER_LOST, clock.monotonic_ms()
+            )
+        return await self._follow(call, row, decision, deadline_ms)
+
+    async def _follow(
+        self,
+        call: IncomingCall,
+        row: table_lib.Row,
+        decision: actions_lib.Decision,
+        deadline_ms: float,
+    ) -> ServedCall:
+        action_id = str(decision.action) if decision.action else ""
+        self._stats.note(decision, call)
+        match decision.step:
+            case Step.REFUSE:
+                return _served(
+                    attempts.refusal("", 0, decision.code), action_id
+                )
+            case Step.ANSWER:
+                return ServedCall(
+                    decision.result, decision.run_state, action_id
+                )
+            case Step.WAIT:
+                return await self._wait(decision, deadline_ms)
+            case Step.INQUIRE:
+                return await self._settle(
+                    decision, self._inquire(decision, deadline_ms)
+                )
+            case _:
+                return await self._settle(
+                    decision, self._run(call, row, decision, deadline_ms)
+                )
+
+    async def _forward(
+        self, call: IncomingCall, owner: str, deadline_ms: float
+    ) -> ServedCall | None:
+        """Lets the owner serve a request; None when it does not."""
+        forwarded = messages.Call(
+            call_id="",
+            attempt=0,
+            action_id=call.action_id,
+            caller=call.caller,
+            kind=call.kind,
+            service=call.service,
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            body=call.body,
+            incarnation="",
+            sent_ms=0.0,
+            remaining_ms=0.0,
+            budget=0,
+            forwarded=True,
+            key=call.key,
+        )
+        result = await self._owners.forward(forwarded, owner, deadline_ms)
+        if result is None:
+            return None
+        return _served(result, call.action_id)
+
+    async def _wait(
+        self, decision: actions_lib.Decision, deadline_ms: float
+    ) -> ServedCall:
+        future = self._running[decision.action]
+        wait_ms = max(0.0, deadline_ms - clock.monotonic_ms())
+        try:
+            return await asyncio.wait_for(
+                asyncio.shield(future), wait_ms / 1000
+            )
+        except TimeoutError:
+            return _served(
+                attempts.refusal("", 0, Code.STILL_RUNNING),
+                str(decision.action),
+            )
+
+    async def _settle(self, decision: actions_lib.Decision, work) -> ServedCall:
+        """Does the work of an action and tells all who wait for it."""
+        future = asyncio.get_running_loop().create_future()
+        self._running[decision.action] = future
+        # The outcome when the work ends with an error.
+        routed = router_lib.Routed(attempts.refusal("", 0, Code.INTERNAL))
+        try:
+            routed = await work
+        finally:
+            state = self._actions.finish(
+                decision, routed.result, clock.monotonic_ms(), routed.place
+            )
+            served = ServedCall(routed.result, state, str(decision.action))
+            del self._running[decision.action]
+            future.set_result(served)
+        return served
+
+    async def _inquire(
+        self, decision: actions_lib.Decision, deadline_ms: float
+    ) -> router_lib.Routed:
+        result = await self._owners.inquire(
+            decision.call_id, decision.place, deadline_ms
+        )
+        return router_lib.Routed(result)
+
+    async def _run(
+        self,
+        call: IncomingCall,
+        row: table_lib.Row,
+        decision: actions_lib.Decision,
+        deadline_ms: float,
+    ) -> router_lib.Routed:
+        action_id = str(decision.action)
         context = calls.CallContext(
             call_id=action_id,
             action_id=action_id,
@@ -141,20 +289,25 @@
             caller=call.caller,
             kind=call.kind,
             priority=identity.priority(row.weight, action_id),
-            deadline_ms=now_ms + deadline_ms,
-            budget=budget_lib.budget_for_call(
-                self._settings.mechanisms, row.retry_budget, row.retry_budget
-            ),
+            deadline_ms=deadline_ms,
+            budget=decision.budget,
         )
         routed = await self._router.call(
-            router_lib.Request(
-                call_id=f"{action_id}/1",
-                context=context,
-                service=call.service,
-                method=call.method,
-                path=call.path,
-                headers=call.headers,
-                body=call.body,
-            )
+            _request(call, decision.call_id, context)
         )
-        return ServedCall(routed.result, action_id, self.issue_action_id())
+        self._stats.count_retries(row, context.retry_count)
+        return routed
+
+
+def _request(
+    call: IncomingCall, call_id: str, context: calls.CallContext
+) -> router_lib.Request:
+    return router_lib.Request(
+        call_id=call_id,
+        context=context,
+        service=call.service,
+        method=call.method,
+        path=call.path,
+        headers=call.headers,
+        body=call.body,
+    )
--- a/mimosahaven/entry.py
+++ b/mimosahaven/entry.py
@@ -139,6 +139,7 @@
         code = Code(result.code)
         if result.status == 0:
             self._answer_refusal(resp, code)
+            resp.set_header(RUN_HEADER, served.run_state.value)
         else:
             resp.status = result.status
             resp.data = result.body
@@ -149,7 +150,7 @@
                 else:
                     resp.set_header(name, value)
             resp.set_header(CODE_HEADER, str(result.code))
-            resp.set_header(RUN_HEADER, codes.describe(code).run_state.value)
+            resp.set_header(RUN_HEADER, served.run_state.value)
         if served.action_id:
             resp.set_header(ACTION_HEADER, served.action_id)
         if served.next_action_id:
--- a/mimosahaven/messages.py
+++ b/mimosahaven/messages.py
@@ -107,6 +107,9 @@
       thresholds: Shed threshold and its age in ms, for each service below.
       load: Outstanding calls of the guard, divided by its limit.
       threshold: Shed threshold of this guard.
+      run_state: Whether any attempt ran, when the code tells only of the
+        last one; empty when the code tells it all.
+      incarnation: Set by the sender of an attempt: where it went.
     """
 
     call_id: str
@@ -119,6 +122,14 @@
     thresholds: dict[str, tuple[int, float]] = {}
     load: float = 0.0
     threshold: int = 0
+    run_state: str = ""
+    incarnation: str = ""
+
+    def told_state(self) -> codes.RunState:
+        """Returns whether the call ran, over all its attempts."""
+        if self.run_state:
+            return codes.RunState(self.run_state)
+        return codes.describe(codes.Code(self.code)).run_state
 
 
 class Inquire(Message, tag=7):
--- a/mimosahaven/table.py
+++ b/mimosahaven/table.py
@@ -87,6 +87,10 @@
             or find((ANY, ANY))
         )
 
+    def knows_caller(self, caller: str) -> bool:
+        """Returns whether a row names the caller."""
+        return any(row.caller == caller for row in self.rows)
+
 
 def text_hash(text: str) -> str:
     """Returns the hash that identifies the text of a table."""
