--- a/mimosahaven/table.py
+++ b/mimosahaven/table.py
@@ -16,7 +16,7 @@
 PLATFORM = "platform"
 RATE_LIMIT_MAX_PER_S = 1_000_000
 FAULTS_MAX = 4
-FAULT_DETAIL_CHARS = 200
+FAULT_DETAIL_CHARS = 120
 FAULT_VALUE_CHARS = 60
 
 Code = codes.Code
@@ -151,6 +151,11 @@
     source: str
     first_ms: float
 
+    def describe(self) -> str:
+        """Returns the fault in one line."""
+        fault = self.fault
+        return f"{Code(fault.code).name} from {self.source}: {fault.detail}"
+
 
 class TableStore:
     """The table in force and the faults of tables that were refused.
