Drop idle connections of the load tool before the servers do

The servers close a connection that is idle for 5 s, the client kept it for 15 s. A request sent at that moment was lost: a PUT of a phase ended the experiment with 'Server disconnected', and the tasks of its requests went on with a closed session. All tasks of a plan now belong to one group.

--- a/mimosahaven/load.py
+++ b/mimosahaven/load.py
@@ -17,6 +17,9 @@
 # Unused action ids kept for each entry, from `Mimosahaven-Next-Action`. They
 # are used up quickly, because they expire.
 IDS_KEPT = 50
+# Below the 5 s after which the servers close an idle connection; a request
+# sent at that moment is lost.
+KEEPALIVE_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,7 +121,6 @@
         self._session = session
         self._rng = random.Random(plan.seed)
         self._ids = ActionIds(session)
-        self._tasks: set[asyncio.Task] = set()
         self._sequence = itertools.count(1)
         self.start_s = 0.0
 
@@ -134,9 +136,8 @@
             for phase in self._plan.phases:
                 for put in phase.puts:
                     group.create_task(self._put(put))
-                await self._send_phase(phase, begin_s)
+                await self._send_phase(group, phase, begin_s)
                 begin_s += phase.duration_s
-        await asyncio.gather(*self._tasks)
         return self.requests
 
     def _now_s(self) -> float:
@@ -146,7 +147,9 @@
         async with self._session.put(put.url, json=put.body) as response:
             response.raise_for_status()
 
-    async def _send_phase(self, phase: loadplan.Phase, begin_s: float) -> None:
+    async def _send_phase(
+        self, group: asyncio.TaskGroup, phase: loadplan.Phase, begin_s: float
+    ) -> None:
         kinds = self._plan.kinds
         shares = [kind.share for kind in kinds]
         intended_s = begin_s
@@ -161,9 +164,7 @@
                 f"{self._plan.seed}-{next(self._sequence)}", kind, intended_s
             )
             self.requests.append(request)
-            task = asyncio.create_task(self._carry_out(request))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            group.create_task(self._carry_out(request))
 
     async def _sleep_until(self, time_s: float) -> None:
         delay_s = time_s - self._now_s()
@@ -263,7 +264,7 @@
 def make_session() -> aiohttp.ClientSession:
     """Returns a client without a limit of connections."""
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0),
+        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S),
         cookie_jar=aiohttp.DummyCookieJar(),
     )
     # The library re-sends GET by itself on a broken pooled connection; such
--- a/mimosahaven/testing/targetcore.py
+++ b/mimosahaven/testing/targetcore.py
@@ -19,6 +19,9 @@
 # A cold target starts at this multiple of its service time.
 COLD_FACTOR = 4.0
 CRASH_EXIT_CODE = 70
+# Below the 5 s after which a daemon closes an idle connection; a request
+# sent at that moment is lost.
+KEEPALIVE_S = 2.0
 
 
 class Control(msgspec.Struct, forbid_unknown_fields=True):
@@ -242,7 +245,9 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0),
+                connector=aiohttp.TCPConnector(
+                    limit=0, keepalive_timeout=KEEPALIVE_S
+                ),
                 timeout=aiohttp.ClientTimeout(total=None),
             )
             # The library re-sends GET by itself on a broken pooled
