--- /dev/null
+++ b/tests/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Focused failure tests with real processes."""
--- /dev/null
+++ b/tests/failures/scenes.py
@@ -0,0 +1,227 @@
+"""Small deployments, a client and checks for the failure tests."""
+
+import asyncio
+import collections
+import itertools
+import json
+
+import aiohttp
+import testtools
+
+from mimosahaven import entry as entry_lib
+from mimosahaven import load
+from mimosahaven import targetclient
+from mimosahaven.testing import deployments
+from mimosahaven.testing import experiment
+from mimosahaven.testing import invariants
+from mimosahaven.testing import placement
+from mimosahaven.testing import processes
+from mimosahaven.testing import runner
+from mimosahaven.testing import runs as runs_lib
+
+# Short link times keep the tests quick. Retries are not rationed, because
+# a test sends too few calls to earn any.
+SETTINGS = {
+    "links": {"heartbeat_ms": 100, "silence_ms": 600},
+    "retry": {"per_s_min": 1_000},
+}
+DEADLINE_MS = 8_000
+CONDITION_LIMIT_S = 20
+SERVICE = "reservations"
+KINDS = (
+    ("bride", "reserve", "POST", "/reserve", 80, False),
+    ("tourist", "browse", "GET", "/free", 10, True),
+    ("stylist", "upload", "POST", "/attach", 30, True),
+)
+# Address prefix of each deployment that runs at the same time, so that the
+# ports that the kernel picks for them cannot collide.
+_prefixes = itertools.cycle(f"127.0.{number}" for number in range(10, 40))
+
+
+def off(*mechanisms: str) -> dict:
+    """Returns settings with mechanisms switched off."""
+    return {"mechanisms": dict.fromkeys(mechanisms, False)}
+
+
+def deployment(targets: int, entries: int) -> deployments.Deployment:
+    """Returns entries of `catalogue` in front of targets of `reservations`."""
+    return deployments.Deployment(
+        "failures",
+        "kigali",
+        ("kigali-1", "kigali-2"),
+        (
+            deployments.Service("catalogue", entries, 40, 100, 5),
+            deployments.Service(SERVICE, targets, 40, 100, 5),
+        ),
+        tuple(
+            deployments.Kind(
+                caller, kind, method, SERVICE, path, weight, safe, 0.3, 10_000
+            )
+            for caller, kind, method, path, weight, safe in KINDS
+        ),
+        SERVICE,
+        next(_prefixes),
+    )
+
+
+class Scene:
+    """A deployment under test and a client that notes what it was told."""
+
+    def __init__(self, settings=None, targets=2, entries=1, **options):
+        settings = placement.merged(SETTINGS, settings or {})
+        self.fleet = runner.Runner(
+            deployment(targets, entries), settings=settings, **options
+        )
+        self.requests: dict[str, load.Request] = {}
+        self.start_s = 0.0
+        self._numbers = itertools.count(1)
+        self._tasks: list[asyncio.Task] = []
+
+    async def __aenter__(self) -> "Scene":
+        await self.fleet.__aenter__()
+        self.start_s = asyncio.get_running_loop().time()
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # No process has anything to finish: a drain would only take time.
+        for node in self.fleet.nodes:
+            self.fleet.kill(node.name)
+            self.fleet.kill(node.daemon)
+        await self.fleet.__aexit__(*error)
+
+    def new_id(self) -> str:
+        """Returns the id of a request that was not sent yet."""
+        return f"r{next(self._numbers)}"
+
+    async def action_id(self, entry: str) -> str:
+        """Returns an unused action id of a daemon."""
+        url = f"{self.fleet.node(entry).entry_url}/-/actions"
+        async with self.fleet.session.post(url) as answer:
+            return (await answer.json())["action"]
+
+    async def send(
+        self,
+        entry: str = "catalogue-1",
+        kind: str = "reserve",
+        id: str = "",
+        action: str = "",
+        timeout_ms: float = DEADLINE_MS,
+        data=None,
+    ) -> load.Send:
+        """Sends a request, or sends it again, and returns what came back."""
+        id = id or self.new_id()
+        loads = experiment.kind_loads(self.fleet.deployment)
+        row = next(k for k in loads if k.kind == kind)
+        now_s = asyncio.get_running_loop().time() - self.start_s
+        request = self.requests.setdefault(id, load.Request(id, row, now_s))
+        send = load.Send(action, now_s)
+        request.sends.append(send)
+        headers = {
+            entry_lib.CALLER_HEADER: row.caller,
+            entry_lib.KIND_HEADER: kind,
+            targetclient.DEADLINE_HEADER: f"{timeout_ms:.0f}",
+            "Content-Type": "application/json",
+        }
+        if action:
+            headers[entry_lib.ACTION_HEADER] = action
+        if data is None and row.method != "GET":
+            data = json.dumps({"id": id}).encode()
+        try:
+            async with self.fleet.session.request(
+                row.method,
+                f"{self.fleet.node(entry).entry_url}{row.path}?id={id}",
+                headers=headers,
+                data=data,
+                timeout=aiohttp.ClientTimeout(total=timeout_ms / 1000),
+            ) as answer:
+                body = await answer.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            send.error = type(error).__name__
+        else:
+            send.status = answer.status
+            send.code = int(answer.headers.get(entry_lib.CODE_HEADER, 0))
+            send.run = answer.headers.get(entry_lib.RUN_HEADER, "")
+            send.action_id = answer.headers.get(entry_lib.ACTION_HEADER, action)
+            send.whole = load.is_whole_answer(request, body)
+        send.end_s = asyncio.get_running_loop().time() - self.start_s
+        return send
+
+    def start(self, *args, **options) -> asyncio.Task:
+        """Sends a request in the background."""
+        task = asyncio.create_task(self.send(*args, **options))
+        self._tasks.append(task)
+        return task
+
+    def runs(self, id: str | None = None) -> list[runs_lib.Run]:
+        """Returns the runs, of one request or of all."""
+        return [run for run in self.fleet.runs() if id is None or run.id == id]
+
+    async def until_run(self, id: str) -> runs_lib.Run:
+        """Waits until a request runs and returns the run."""
+
+        async def found():
+            return self.runs(id)
+
+        return (await self.until(found, f"run of {id}"))[0]
+
+    async def until(self, condition, what: str):
+        """Waits for a condition with a generous limit."""
+        return await processes.wait_for(condition, CONDITION_LIMIT_S, what)
+
+    async def warm_up(self) -> None:
+        """Opens the links between all daemons."""
+        for node in self.fleet.nodes:
+            for _ in range(3):
+                await asyncio.gather(
+                    *(self.send(node.name, "browse") for _ in range(6))
+                )
+
+    def violations(self) -> collections.Counter:
+        """Returns how often each invariant was violated.
+
+        Runs are also counted by the id of the request, because with the
+        ledger off a request that is sent again gets another action id.
+        """
+        seen = invariants.Observations(
+            self.fleet.deployment,
+            list(self.requests.values()),
+            self.runs(),
+            self.start_s * 1000,
+        )
+        found = collections.Counter(v.name for v in invariants.check(seen))
+        runs = collections.Counter(
+            r.id for r in seen.runs if r.path == "/reserve"
+        )
+        again = sum(count > 1 for count in runs.values())
+        found[invariants.AT_MOST_ONCE] = max(
+            found[invariants.AT_MOST_ONCE], again
+        )
+        return +found
+
+
+class FailureTest(testtools.TestCase):
+    """Runs scenarios with a mechanism on and off."""
+
+    def compare(self, *cases, **options) -> list:
+        """Plays scenarios on deployments of their own, at the same time.
+
+        Args:
+          cases: Pairs of a coroutine function of a Scene and the settings;
+            with empty settings every mechanism is on.
+          options: Options of all the Scenes.
+
+        Returns:
+          What the scenarios returned.
+        """
+
+        async def play(scenario, settings):
+            async with Scene(settings, **options) as scene:
+                return await scenario(scene)
+
+        async def play_all():
+            return await asyncio.gather(*(play(*case) for case in cases))
+
+        return asyncio.run(play_all())
