--- a/tests/failures/scenes.py
+++ b/tests/failures/scenes.py
@@ -27,6 +27,8 @@
 }
 DEADLINE_MS = 8_000
 CONDITION_LIMIT_S = 20
+# A client waits longer than its deadline, to see what it is told then.
+ANSWER_MARGIN_MS = 4_000
 SERVICE = "reservations"
 KINDS = (
     ("bride", "reserve", "POST", "/reserve", 80, False),
@@ -135,7 +137,9 @@
                 f"{self.fleet.node(entry).entry_url}{row.path}?id={id}",
                 headers=headers,
                 data=data,
-                timeout=aiohttp.ClientTimeout(total=timeout_ms / 1000),
+                timeout=aiohttp.ClientTimeout(
+                    total=(timeout_ms + ANSWER_MARGIN_MS) / 1000
+                ),
             ) as answer:
                 body = await answer.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
