--- a/tests/failures/scenes.py
+++ b/tests/failures/scenes.py
@@ -7,9 +7,13 @@
 
 import aiohttp
 import testtools
+import zmq
+import zmq.asyncio
 
+from mimosahaven import clock
 from mimosahaven import entry as entry_lib
 from mimosahaven import load
+from mimosahaven import messages
 from mimosahaven import targetclient
 from mimosahaven.testing import deployments
 from mimosahaven.testing import experiment
@@ -229,3 +233,58 @@
             return await asyncio.gather(*(play(*case) for case in cases))
 
         return asyncio.run(play_all())
+
+
+class Peer:
+    """A hand-written daemon that is connected to one daemon under test."""
+
+    def __init__(self, node: placement.Node):
+        self._context = zmq.asyncio.Context()
+        self._socket = self._context.socket(zmq.DEALER)
+        self._socket.setsockopt(zmq.LINGER, 0)
+        self._socket.connect(f"tcp://{node.host}:{node.link_port}")
+
+    async def __aenter__(self) -> "Peer":
+        return self
+
+    async def __aexit__(self, *_error) -> None:
+        self._context.destroy(linger=0)
+
+    async def send(self, *frames: bytes) -> None:
+        """Sends frames as they are."""
+        await self._socket.send_multipart(frames)
+
+    async def ask(self, message: messages.Message, answer_type: type):
+        """Sends a message and returns the next answer of a type."""
+        await self.send(messages.encode(message))
+        async with asyncio.timeout(CONDITION_LIMIT_S):
+            while True:
+                frames = await self._socket.recv_multipart()
+                answer = messages.decode(frames[-1])
+                if isinstance(answer, answer_type):
+                    return answer
+
+    async def incarnation(self) -> str:
+        """Returns the incarnation that the daemon has now."""
+        hello = messages.Hello("peer", "0" * 16, clock.monotonic_ms())
+        return (await self.ask(hello, messages.HelloAck)).incarnation
+
+
+def make_call(id: str, incarnation: str) -> messages.Call:
+    """Returns an attempt of a reservation as another daemon sends it."""
+    return messages.Call(
+        call_id=f"peer.{'0' * 16}.1.{id}/1",
+        attempt=0,
+        action_id=f"peer.{'0' * 16}.1.{id}",
+        caller="bride",
+        kind="reserve",
+        service=SERVICE,
+        method="POST",
+        path=f"/reserve?id={id}",
+        headers=[],
+        body=b"",
+        incarnation=incarnation,
+        sent_ms=clock.monotonic_ms(),
+        remaining_ms=DEADLINE_MS,
+        budget=0,
+    )
