Keep the outcome that an owner found for a forwarded request

An owner whose own call ended with LINK_LOST, NO_TARGET or a refusal of a target's daemon was taken for an owner that had not served the request. The other entry then told OWNER_LOST in place of the outcome, also where the owner knew that nothing had run, and ran idempotent requests once more without drawing on the action's retry budget.

An owner that served a request states its run state; this decides now.

--- a/mimosahaven/ownerlink.py
+++ b/mimosahaven/ownerlink.py
@@ -10,19 +10,19 @@
 
 Code = codes.Code
 
-# The owner did not decide about the request.
+# Codes of a request that did not reach its owner, or was not taken in there.
 _NOT_SERVED = frozenset(
     {
         Code.NO_TARGET,
         Code.LINK_LOST,
-        Code.OWNER_LOST,
-        Code.KEY_UNSETTLED,
         Code.WRONG_INCARNATION,
         Code.LEAVING,
         Code.STARTING,
         Code.STALE_AFTER_PAUSE,
     }
 )
+# The owner refused to decide.
+_UNDECIDED = frozenset({Code.OWNER_LOST, Code.KEY_UNSETTLED})
 
 
 class OwnerLink:
@@ -58,9 +58,9 @@
             return None
         call.call_id = f"{self._prefix}/{next(self._numbers)}"
         result = await self._sender.send(member, call, deadline_ms, True)
-        if Code(result.code) in _NOT_SERVED:
-            return None
-        return result
+        if _is_served(result):
+            return result
+        return None
 
     async def inquire(
         self, call_id: str, place: actionrecords.Place, deadline_ms: float
@@ -72,3 +72,16 @@
         return await self._sender.inquire(
             member, place.incarnation, call_id, place.attempt, deadline_ms
         )
+
+
+def _is_served(result: messages.Result) -> bool:
+    """Returns whether the owner served a forwarded request.
+
+    Only an owner that served it states the run state of the action. The code
+    alone does not tell: the owner's own call may have ended with LINK_LOST
+    as well, and its outcome must not be replaced by OWNER_LOST.
+    """
+    code = Code(result.code)
+    if code in _UNDECIDED:
+        return False
+    return bool(result.run_state) or code not in _NOT_SERVED
--- a/tests/failures/test_restarted_daemon.py
+++ b/tests/failures/test_restarted_daemon.py
@@ -26,11 +26,13 @@
       lost: Those of the calls that ran at the killed guard.
       again: Answers to all actions, sent again while the daemons were down
         and after they were back.
+      lost_again: Last answers to the calls that ran at the killed guard.
     """
 
     first: list[load.Send]
     lost: list[load.Send]
     again: list[load.Send]
+    lost_again: list[load.Send]
     runs: list[int]
     violations: dict
 
@@ -62,11 +64,13 @@
         send_again(), *(scene.fleet.restart(name) for name in killed)
     )
     first = (await asyncio.gather(*sent))[:CALLS]
-    again += await send_again()
+    last = await send_again()
+    lost = [n for n in range(CALLS) if runs[n].target == KILLED_GUARD]
     return _Seen(
         first,
-        [a for a, run in zip(first, runs) if run.target == KILLED_GUARD],  # noqa: B905
-        again,
+        [first[number] for number in lost],
+        again + last,
+        [last[number] for number in lost],
         [len(scene.runs(id)) for id in ids],
         scene.violations(),
     )
@@ -105,6 +109,11 @@
         for answer in [*seen.first, *seen.again]:
             told = answer.succeeded or answer.run == "unknown"
             self.assertTrue(told, answer)
+        # The owner knows best what became of a call of its own.
+        self.assertThat(
+            {answer.code for answer in seen.lost_again},
+            matchers.Equals({codes.Code.LINK_LOST}),
+        )
         self.assertThat(max(no_ledger.runs), matchers.GreaterThan(1))
         self.assertIn(invariants.AT_MOST_ONCE, no_ledger.violations)
 
