Repeat gossip news until it is old, and ask again sooner

A lost answer to a request for a document cost 1 s. News items now stay for 300 s; after their 8 sends each digest repeats one of them at random. A request is repeated after 300 ms. Excluded: more sends, which only lowers the chance of a miss. Conclusion: state changes no longer depend on a single wave of news.

--- a/mimosahaven/gossip.py
+++ b/mimosahaven/gossip.py
@@ -68,13 +68,13 @@
         self._store = store
         self._rng = rng
         self.peers = peers_lib.Peers(settings, view, rng)
-        self.reports = reports_lib.Reports(settings, incarnation, view)
+        self.reports = reports_lib.Reports(settings, incarnation, view, rng)
         self.list_text = ""
         self.list_fault = ""
         self.surplus: dict[str, float] = {}
         self._refused_list = 0
         self._requested_ms: float | None = None
-        self._strikes = news.NewsBuffer(self._limits)
+        self._strikes = news.NewsBuffer(self._limits, rng)
         self._seen_strikes = news.SeenSet()
 
     def set_state(self, state: str, now_ms: float) -> list[Outgoing]:
@@ -117,8 +117,8 @@
             self._view.version,
             self._view.platform_age_ms(now_ms),
             surplus=self.surplus,
-            reports=self.reports.take_news(),
-            strikes=self._strikes.take(),
+            reports=self.reports.take_news(now_ms),
+            strikes=self._strikes.take(now_ms),
             # One fault in each digest bounds its size.
             table_faults=[self._rng.choice(faults)] if faults else [],
             reply_wanted=reply_wanted,
@@ -126,12 +126,12 @@
             echo_ms=echo_ms,
         )
 
-    def add_strike(self, strike: messages.Strike) -> bool:
+    def add_strike(self, strike: messages.Strike, now_ms: float) -> bool:
         """Spreads a strike; returns whether it was not known before."""
         key = (strike.fingerprint, strike.crash_id)
         if not self._seen_strikes.add(key):
             return False
-        self._strikes.add(key, strike)
+        self._strikes.add(key, strike, now_ms)
         return True
 
     def on_message(
@@ -180,13 +180,9 @@
             )
         if not change.accepted:
             return Reaction()
-        logger.info(
-            "{} table {} in force, from {}",
-            PREFIX,
-            self._store.version,
-            source,
-        )
-        document = messages.TableDocument(self._store.version, text)
+        version = self._store.version
+        logger.info("{} table {} in force, from {}", PREFIX, version, source)
+        document = messages.TableDocument(version, text)
         return Reaction(pushes=self._push(document, now_ms), table_changed=True)
 
     def offer_list(self, text: str, now_ms: float) -> Reaction:
@@ -213,7 +209,9 @@
             direct = report is digest.report
             reaction.list_changed |= self.reports.apply(report, direct, now_ms)
         reaction.strikes = [
-            strike for strike in digest.strikes if self.add_strike(strike)
+            strike
+            for strike in digest.strikes
+            if self.add_strike(strike, now_ms)
         ]
         for fault in digest.table_faults:
             self._store.take_fault(fault, sender, now_ms)
--- a/mimosahaven/membership.py
+++ b/mimosahaven/membership.py
@@ -131,9 +131,9 @@
             self._read = None
         self._start_read()
 
-    def add_strike(self, strike: messages.Strike) -> None:
+    def add_strike(self, strike: messages.Strike, now_ms: float) -> None:
         """Spreads a strike of this daemon by gossip."""
-        self.gossip.add_strike(strike)
+        self.gossip.add_strike(strike, now_ms)
 
     def on_message(
         self,
--- a/mimosahaven/reports.py
+++ b/mimosahaven/reports.py
@@ -1,5 +1,7 @@
 """The own report of a daemon, and the reports of others that it spreads."""
 
+import random
+
 from mimosahaven import fleet as fleet_lib
 from mimosahaven import messages
 from mimosahaven import news
@@ -13,6 +15,7 @@
       settings: Settings of the daemon.
       incarnation: Incarnation of the daemon.
       view: View of the fleet, which reports are applied to.
+      rng: Source of the choice of news.
     """
 
     def __init__(
@@ -20,10 +23,11 @@
         settings: settings_lib.Settings,
         incarnation: str,
         view: fleet_lib.FleetView,
+        rng: random.Random,
     ):
         self._link = settings.link
         self._view = view
-        self._news = news.NewsBuffer(settings.gossip)
+        self._news = news.NewsBuffer(settings.gossip, rng)
         self.own = messages.SelfReport(
             settings.target.name,
             settings.target.service,
@@ -58,12 +62,12 @@
             return False
         restarted = old is not None and old.incarnation != report.incarnation
         if not direct or restarted or report.state == fleet_lib.LEAVING:
-            self._news.add(report.target, report)
+            self._news.add(report.target, report, now_ms)
         return True
 
-    def take_news(self) -> list[messages.SelfReport]:
+    def take_news(self, now_ms: float) -> list[messages.SelfReport]:
         """Returns reports about others for one digest."""
-        return self._news.take()
+        return self._news.take(now_ms)
 
     def superseding(
         self, report: messages.SelfReport
--- a/mimosahaven/settings.py
+++ b/mimosahaven/settings.py
@@ -136,9 +136,10 @@
     # Larger documents are announced, and sent on request: 4 blind pushes of
     # a list of 450 VMs (75 KB) would bring each daemon 5 copies.
     push_bytes_max: Count = 4_096
-    request_timeout_ms: PositiveMs = 1_000
+    request_timeout_ms: PositiveMs = 300
     news_max: Count = 8
     news_sends: Count = 8
+    news_keep_ms: PositiveMs = 300_000
     share_settle_ms: PositiveMs = 10_000
 
 
