--- a/mimosahaven/testing/platform.py
+++ b/mimosahaven/testing/platform.py
@@ -1,6 +1,7 @@
 """Fake of the platform: documents by HTTP, with faults on request."""
 
 import asyncio
+import contextlib
 import dataclasses
 import socket
 
@@ -39,6 +40,12 @@
         if self.outage not in ("", "refuse", "hang"):
             raise ValueError('outage: "", "refuse" or "hang" is allowed')
 
+    def frozen(self, name: str) -> int | None:
+        """Returns the version at which a document is frozen."""
+        if name == TABLE:
+            return self.frozen_table_version
+        return self.frozen_list_version
+
 
 @dataclasses.dataclass
 class Counters:
@@ -47,7 +54,7 @@
     Attributes:
       calls: All reads, including those that met an outage.
       refused: Reads that met the outage "refuse".
-      waiting: Watches that wait at present.
+      waiting: Watches that wait at present, also for readers that left.
     """
 
     calls: int = 0
@@ -57,15 +64,11 @@
 
 @dataclasses.dataclass
 class Document:
-    """All versions of one document and the one that readers see."""
+    """All versions of one document, and the newest that is visible."""
 
     texts: dict[int, str] = dataclasses.field(default_factory=dict)
     newest: int = 0
 
-    def visible(self, frozen: int | None) -> int:
-        """Returns the version that readers see, 0 for none."""
-        return self.newest if frozen is None else frozen
-
 
 class PlatformState:
     """Documents, faults and counters of the fake platform."""
@@ -96,17 +99,14 @@
         faults = msgspec.convert(
             msgspec.structs.asdict(self.faults) | changes, Faults
         )
-        for name, version in (
-            (TABLE, faults.frozen_table_version),
-            (LIST, faults.frozen_list_version),
-        ):
-            known = self.documents[name].texts
-            if version is not None and version not in known:
+        for name, document in self.documents.items():
+            version = faults.frozen(name)
+            if version is not None and version not in document.texts:
                 raise ValueError(f"{name} has no version {version}")
         self.faults = faults
         if faults.outage == "refuse":
             for connection in list(self.connections):
-                connection.reset()
+                connection.transport.abort()
         self._notify()
 
     async def read(self, name: str, after: int, wait_ms: float) -> str | None:
@@ -125,33 +125,24 @@
         self.counters.waiting += 1
         try:
             while True:
+                hangs = self.faults.outage == "hang"
+                text = None if hangs else self._newer(name, after)
                 left = end - loop.time()
-                if self.faults.outage != "hang":
-                    text = self._newer(name, after)
-                    if text is not None or left <= 0:
-                        return text
-                else:
-                    left = None
-                await self._wait(left)
+                if text is not None or (left <= 0 and not hangs):
+                    return text
+                await self._wait(None if hangs else left)
         finally:
             self.counters.waiting -= 1
 
     def _newer(self, name: str, after: int) -> str | None:
-        faults = self.faults
-        frozen = (
-            faults.frozen_table_version
-            if name == TABLE
-            else faults.frozen_list_version
-        )
         document = self.documents[name]
-        version = document.visible(frozen)
+        frozen = self.faults.frozen(name)
+        version = document.newest if frozen is None else frozen
         return document.texts[version] if version > after else None
 
     async def _wait(self, seconds: float | None) -> None:
-        try:
+        with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._changed.wait(), seconds)
-        except TimeoutError:
-            pass
 
     def _show(self, name: str, version: int) -> None:
         self.documents[name].newest = version
@@ -179,7 +170,7 @@
             if self.state.faults.outage == "refuse":
                 self.state.counters.calls += 1
                 self.state.counters.refused += 1
-                self.reset()
+                self.transport.abort()
                 return
         super().on_headers_complete()
 
@@ -193,10 +184,6 @@
         if self.cycle is not None:
             super().on_message_complete()
 
-    def reset(self) -> None:
-        """Closes the connection without an answer."""
-        self.transport.abort()
-
 
 class DocumentResource:
     """Reads, watches and writes of one document."""
@@ -242,7 +229,6 @@
 
     async def on_get(self, req, resp):
         """Answers with the counters and the faults."""
-        del req
         resp.media = dataclasses.asdict(self._state.counters) | {
             "faults": msgspec.structs.asdict(self._state.faults)
         }
--- a/tests/test_cli_table.py
+++ b/tests/test_cli_table.py
@@ -64,9 +64,8 @@
             0, ["row shop/*", "500 ms"], "explain", path, "shop", "browse"
         )
         order = output[output.index("Shed order") :]
-        self.assertThat(
-            order.index("shop/*"), matchers.LessThan(order.index("shop/order"))
-        )
+        first, second = map(order.index, ("shop/*", "shop/order"))
+        self.assertThat(first, matchers.LessThan(second))
         self.assert_run(1, ["add a row"], "explain", path, "other", "order")
 
     def test_each_help_has_an_example(self):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -26,10 +26,6 @@
     return messages.SelfReport(target, "katalog", incarnation, state, sequence)
 
 
-def names(members):
-    return [found.target for found in members]
-
-
 class ParseListTest(testtools.TestCase):
     def test_unusable_lists_are_refused(self):
         good = {"target": "t", "service": "s", "failure_domain": "a"}
@@ -50,25 +46,25 @@
 
 
 class FleetViewTest(testtools.TestCase):
+    def assert_only(self, target, members):
+        found = [member.target for member in members]
+        self.assertThat(found, matchers.Equals([target]))
+
     def test_older_list_is_ignored(self):
         # A stale platform must not bring back VMs that are gone.
         view = view_of(member(1), version=5)
         for version in (4, 5):
             listing = fleet.MemberList(version, [member(1), member(2)])
             self.assertFalse(view.apply_list(listing, 1.0))
-        self.assertThat(
-            names(view.targets("katalog")), matchers.Equals(["t-1"])
-        )
+        self.assert_only("t-1", view.targets("katalog"))
 
     def test_leaving_by_list_or_by_report(self):
         view = view_of(
             member(1), member(2, "b", state="leaving"), member(3, "b")
         )
         self.assertTrue(view.apply_self_report(report("leaving", 1), 1.0))
-        self.assertThat(
-            names(view.targets("katalog")), matchers.Equals(["t-3"])
-        )
-        self.assertThat(names(view.daemons("b")), matchers.Equals(["t-3"]))
+        self.assert_only("t-3", view.targets("katalog"))
+        self.assert_only("t-3", view.daemons("b"))
         self.assertThat(view.failure_domains(), matchers.Equals(["b"]))
 
     def test_live_since_starts_anew(self):
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -108,9 +108,9 @@
         text = gossipfleet.list_text(2, fleet.members[:-1])
         reaction = daemon.gossip.offer_list(text, fleet.now_ms)
         fleet.deliver("katalog-0", reaction.pushes)
+        views = [daemon.view for daemon in fleet.daemons.values()]
         found = fleet.run_until(
-            lambda: all(d.view.version == 2 for d in fleet.daemons.values()),
-            IN_FORCE_MS,
+            lambda: all(view.version == 2 for view in views), IN_FORCE_MS
         )
         self.assert_within(found, IN_FORCE_MS)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -89,12 +89,6 @@
             await one.stop()
 
 
-async def until(condition):
-    # The condition depends on timers of several objects.
-    while not condition():  # noqa: ASYNC110
-        await asyncio.sleep(0.01)
-
-
 class MembershipTest(testtools.TestCase):
     async def restart_next_to_stale_platform(self, **parts):
         """Returns the table versions that a restarted daemon put in force."""
@@ -136,7 +130,9 @@
             new = network.add(1, seeds=seeds)
             async with running(old, new):
                 await new.ready.wait()
-                await until(lambda: (1, 7) in network.events)
+                await test_platformclient.until(
+                    lambda: (1, 7) in network.events
+                )
             self.assertThat(new.view.version, matchers.Equals(5))
 
         asyncio.run(scenario())
@@ -179,8 +175,8 @@
             first.report("leaving")
             first.report("ready")
             target = network.members[0].target
-            async with asyncio.timeout(LIMIT_S):
-                for other in others:
-                    await until(lambda o=other: o.view.is_leaving(target))
+            await test_platformclient.until(
+                lambda: all(o.view.is_leaving(target) for o in others)
+            )
 
         asyncio.run(scenario())
--- a/tests/test_platformclient.py
+++ b/tests/test_platformclient.py
@@ -10,7 +10,7 @@
 from testtools import matchers
 
 from mimosahaven import platformclient
-from mimosahaven import settings as settings_lib
+from tests import gossipfleet
 
 LIMIT_S = 30
 TABLE = platformclient.DocumentName.TABLE
@@ -27,19 +27,10 @@
         self.versions = {TABLE: 0, LIST: 0}
         self.texts = []
         self.contacts = 0
-        settings = settings_lib.Settings.model_validate(
-            {
-                "target": {
-                    "name": "katalog-1",
-                    "service": "katalog",
-                    "failure_domain": "a",
-                    "endpoint": endpoint,
-                },
-                "entry": endpoint,
-                "link": endpoint,
-                "platform": endpoint,
-                "gossip": {"read_timeout_ms": 300, "retry_ms": 200},
-            }
+        settings = gossipfleet.settings_for(
+            gossipfleet.member(1, 1),
+            platform=endpoint,
+            gossip={"read_timeout_ms": 300, "retry_ms": 200},
         )
         self.client = platformclient.PlatformClient(
             settings,
@@ -68,11 +59,12 @@
         async with self.http.get(self.base + "/control") as response:
             return await response.json()
 
-    async def until(self, condition):
-        async with asyncio.timeout(LIMIT_S):
-            # The condition depends on another process.
-            while not condition():  # noqa: ASYNC110
-                await asyncio.sleep(0.01)
+
+async def until(condition):
+    async with asyncio.timeout(LIMIT_S):
+        # The condition depends on other processes or several timers.
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
 
 
 @contextlib.asynccontextmanager
@@ -97,81 +89,72 @@
         await process.wait()
 
 
-class PlatformClientTest(testtools.TestCase):
-    def run_with_reader(self, scenario):
-        async def run():
+def with_reader(scenario):
+    """Runs a test with a client and a fake platform of its own."""
+
+    def run(case):
+        async def scenario_with_reader():
             async with open_reader() as reader:
-                await scenario(reader)
+                await scenario(case, reader)
 
-        asyncio.run(run())
+        asyncio.run(scenario_with_reader())
 
-    def test_watch_gets_each_new_version(self):
-        async def scenario(reader):
-            reader.client.start_watching()
-            for version in (1, 2):
-                text = f'{{"version": {version}}} // comment'
-                await reader.put("/v1/table", data=text)
-                await reader.until(lambda text=text: text in reader.texts)
-            self.assertThat((await reader.counters())["waiting"], is_below(3))
+    return run
 
-        self.run_with_reader(scenario)
 
-    def test_watch_goes_on_after_each_outage(self):
+class PlatformClientTest(testtools.TestCase):
+    @with_reader
+    async def test_watch_gets_each_new_version(self, reader):
+        reader.client.start_watching()
+        for version in (1, 2):
+            text = f'{{"version": {version}}} // comment'
+            await reader.put("/v1/table", data=text)
+            await until(lambda text=text: text in reader.texts)
+        waiting = (await reader.counters())["waiting"]
+        self.assertThat(waiting, matchers.LessThan(3))
+
+    @with_reader
+    async def test_watch_goes_on_after_each_outage(self, reader):
         # A watch that ends at its first error misses all later changes.
-        async def scenario(reader):
-            reader.client.start_watching()
-            for version, outage in ((1, "refuse"), (2, "hang")):
-                errors = reader.client.error_count
-                await reader.control(outage=outage)
-                await reader.until(
-                    lambda count=errors: reader.client.error_count > count
-                )
-                text = f'{{"version": {version}}}'
-                await reader.put("/control", json={"outage": ""})
-                await reader.put("/v1/vms", data=text)
-                await reader.until(lambda text=text: text in reader.texts)
-
-        self.run_with_reader(scenario)
-
-    def test_invalid_document_is_not_read_in_a_tight_loop(self):
+        reader.client.start_watching()
+        for version, outage in ((1, "refuse"), (2, "hang")):
+            errors = reader.client.error_count
+            await reader.control(outage=outage)
+            await until(lambda count=errors: reader.client.error_count > count)
+            text = f'{{"version": {version}}}'
+            await reader.put("/control", json={"outage": ""})
+            await reader.put("/v1/vms", data=text)
+            await until(lambda text=text: text in reader.texts)
+
+    @with_reader
+    async def test_invalid_document_is_not_read_in_a_tight_loop(self, reader):
         # A watch below the platform's version is answered at once.
-        async def scenario(reader):
-            await reader.put("/v1/table", data='{"version": 9, "bad": 1}')
-            reader.client.start_watching()
-            # The watch of the list has waited for watch_wait_ms, 1000 ms.
-            await reader.until(lambda: reader.contacts > len(reader.texts))
-            self.assertThat(len(reader.texts), is_below(20))
-
-        self.run_with_reader(scenario)
-
-    def test_stale_and_lagging_documents(self):
-        async def scenario(reader):
-            for version in (1, 2):
-                await reader.put("/v1/table", data=f'{{"version": {version}}}')
-            await reader.control(frozen_table_version=1, list_lag_ms=600_000)
-            await reader.put("/v1/vms", data='{"version": 1}')
-            answered = await reader.client.read_all()
-            self.assertThat(answered, matchers.Equals(True))
-            self.assertThat(reader.texts, matchers.Equals(['{"version": 1}']))
-            self.assertThat(reader.contacts, matchers.Equals(2))
-            await reader.client.read_all()
-            self.assertThat(len(reader.texts), matchers.Equals(1))
-            counters = await reader.counters()
-            self.assertThat(counters["calls"], matchers.Equals(4))
-
-        self.run_with_reader(scenario)
-
-    def test_unknown_faults_are_refused(self):
-        async def scenario(reader):
-            for faults in ({"outage": "x"}, {"other": 1}, ["outage"]):
-                status = await reader.put("/control", json=faults)
-                self.assertThat(status, matchers.Equals(400))
-            for data in ("{", '{"version": 0}', "[]"):
-                status = await reader.put("/v1/table", data=data)
-                self.assertThat(status, matchers.Equals(400))
-
-        self.run_with_reader(scenario)
-
-
-def is_below(limit):
-    return matchers.LessThan(limit)
+        await reader.put("/v1/table", data='{"version": 9, "bad": 1}')
+        reader.client.start_watching()
+        # The watch of the list has waited for watch_wait_ms, 1000 ms.
+        await until(lambda: reader.contacts > len(reader.texts))
+        self.assertThat(len(reader.texts), matchers.LessThan(20))
+
+    @with_reader
+    async def test_stale_and_lagging_documents(self, reader):
+        for version in (1, 2):
+            await reader.put("/v1/table", data=f'{{"version": {version}}}')
+        await reader.control(frozen_table_version=1, list_lag_ms=600_000)
+        await reader.put("/v1/vms", data='{"version": 1}')
+        answered = await reader.client.read_all()
+        self.assertThat(answered, matchers.Equals(True))
+        self.assertThat(reader.texts, matchers.Equals(['{"version": 1}']))
+        self.assertThat(reader.contacts, matchers.Equals(2))
+        await reader.client.read_all()
+        self.assertThat(len(reader.texts), matchers.Equals(1))
+        counters = await reader.counters()
+        self.assertThat(counters["calls"], matchers.Equals(4))
+
+    @with_reader
+    async def test_unknown_faults_are_refused(self, reader):
+        for faults in ({"outage": "x"}, {"other": 1}, ["outage"]):
+            status = await reader.put("/control", json=faults)
+            self.assertThat(status, matchers.Equals(400))
+        for data in ("{", '{"version": 0}', "[]"):
+            status = await reader.put("/v1/table", data=data)
+            self.assertThat(status, matchers.Equals(400))
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -94,9 +94,8 @@
         ):
             self.assertThat(self.offer(store, text), matchers.Equals(code))
             self.assertThat(self.codes_of(store), matchers.Contains(code))
-        self.assertThat(
-            store.hash, matchers.Equals(table.text_hash(store.text))
-        )
+        expected = table.text_hash(store.text)
+        self.assertThat(store.hash, matchers.Equals(expected))
         self.assertThat(store.version, matchers.Equals(5))
         self.assertThat(store.faults_to_spread(), matchers.HasLength(2))
         self.assertTrue(store.offer(text_of(7), "katalog-1", 2.0).accepted)
@@ -118,9 +117,8 @@
         stores[0].observe(5, stores[1].hash, "katalog-2", 2.0)
         stores[1].take_fault(stores[0].faults_to_spread()[0], "katalog-1", 3.0)
         for store, weight in zip(stores, (10, 90), strict=True):
-            self.assertThat(
-                self.codes_of(store), matchers.Equals({Code.TABLE_CONFLICT})
-            )
+            found = self.codes_of(store)
+            self.assertThat(found, matchers.Equals({Code.TABLE_CONFLICT}))
             self.assertThat(store.table.rows[0].weight, matchers.Equals(weight))
 
 
@@ -161,18 +159,13 @@
     def send(self, sender, receiver):
         self.network.append((receiver, self.stores[sender].text))
 
-    @stateful.rule(place=strategies.integers(0, 50), keep=strategies.booleans())
-    def deliver(self, place, keep):
+    @stateful.rule(place=strategies.integers(0, 50), copies=index)
+    def deliver(self, place, copies):
+        """Delivers a message in any order: never, once or several times."""
         if self.network:
-            receiver, text = self.network[place % len(self.network)]
-            self.offer(receiver, text)
-            if not keep:
-                self.network.pop(place % len(self.network))
-
-    @stateful.rule(place=strategies.integers(0, 50))
-    def lose(self, place):
-        if self.network:
-            self.network.pop(place % len(self.network))
+            receiver, text = self.network.pop(place % len(self.network))
+            self.offer(receiver, text if copies else "")
+            self.network += [(receiver, text)] * (copies - 1)
 
     @stateful.rule(index=index)
     def restart(self, index):
@@ -206,8 +199,6 @@
 
 
 class UnorderedTableOrder(TableOrder):
-    """The same with the order rules switched off."""
-
     ordered = False
 
 
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -28,9 +28,8 @@
         self.watch_reads = 0
         self.schedules, self.next_watch_ms = {}, {}
         for target, daemon in self.fleet.daemons.items():
-            limits = daemon.settings.gossip
             self.schedules[target] = watching.ReadSchedule(
-                limits, daemon.rng, 0.0
+                daemon.settings.gossip, daemon.rng, 0.0
             )
             if watching.is_watcher(daemon.view, daemon.settings):
                 self.next_watch_ms[target] = 0.0
