--- a/mimosahaven/budget.py
+++ b/mimosahaven/budget.py
@@ -37,7 +37,11 @@
         return True
 
     def delegate(self) -> int:
-        """Gives away half of the rest, rounded down, and returns it."""
+        """Gives away half of the rest, rounded down, for one attempt.
+
+        Returns:
+          The part to pass down; 0 when the budget is not chained.
+        """
         if not self._chained:
             return 0
         part = self._remaining // 2
@@ -45,7 +49,12 @@
         return part
 
     def give_back(self, count: int) -> None:
-        """Takes back what a call below has not used."""
+        """Takes back what a call below has not used.
+
+        Args:
+          count: At most the part that was passed down with the attempt. A
+            lost result gives nothing back.
+        """
         if self._chained:
             self._remaining += max(0, count)
 
@@ -120,7 +129,14 @@
             self._window(service).step(self._index(now_ms)).fresh += 1
 
     def allow(self, service: str, now_ms: float) -> bool:
-        """Takes the allowance for one retry; returns False without one."""
+        """Takes the allowance for one retry.
+
+        It is asked only while the chain's budget has an attempt left, so that
+        no allowance is wasted.
+
+        Returns:
+          Whether the retry may be sent.
+        """
         if not self._enabled:
             return True
         window = self._window(service)
--- a/mimosahaven/keyowner.py
+++ b/mimosahaven/keyowner.py
@@ -101,7 +101,11 @@
         return _choose(self._seeds, key)
 
     def owned_since_ms(self, key: str) -> float | None:
-        """Returns since when this daemon owns a key, None if it does not."""
+        """Returns since when this daemon owns a key without interruption.
+
+        Returns:
+          Time on the own clock, or None if another daemon owns the key.
+        """
         if self.owner(key) != self._target:
             return None
         since_ms = self._since_ms
@@ -112,7 +116,16 @@
         return since_ms
 
     def may_run(self, key: str, now_ms: float) -> bool:
-        """Returns whether no other daemon can have run the key recently."""
+        """Returns whether this daemon may run a request with the key.
+
+        Args:
+          key: The key, scoped by its caller.
+          now_ms: Present time on the clock of the confirmations.
+
+        Returns:
+          True if the list is not too old and no other daemon can have run the
+          key within action_window_ms.
+        """
         since_ms = self.owned_since_ms(key)
         if since_ms is None or not self._enabled:
             return since_ms is not None
--- a/mimosahaven/ledger.py
+++ b/mimosahaven/ledger.py
@@ -57,6 +57,9 @@
 
     An outcome stays until it is removed. Beyond the bound the oldest answers
     lose their headers and body; the outcomes themselves remain.
+
+    Args:
+      bytes_max: Bound of all headers and bodies.
     """
 
     def __init__(self, bytes_max: int):
@@ -190,6 +193,11 @@
         """Takes in the outcome of a call that was dispatched.
 
         An outcome of "not run" leaves no record, as with release().
+
+        Args:
+          call_id: Identity of the call; one that is not running is ignored.
+          result: The outcome.
+          now_ms: Present time, from which the record stays for the window.
         """
         if call_id not in self._running:
             return
@@ -211,8 +219,11 @@
         """Tells the state of a non-idempotent call and bars an unseen one.
 
         Idempotent calls have no record, so nobody may inquire about them.
-        Without room for a tombstone the state is "running": the copy could
-        run later, and the asker asks again or ends with an unknown outcome.
+
+        Returns:
+          The state. Without room for a tombstone it is "running": the copy
+          could run later, and the asker asks again or ends with an unknown
+          outcome.
         """
         if not self._enabled:
             return Inquiry("barred")
--- a/tests/identity_support.py
+++ b/tests/identity_support.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import stateful
 
+from mimosahaven import messages
 from mimosahaven import settings as settings_lib
 
 
@@ -18,6 +19,10 @@
     )
 
 
+def result(code, body=b"12345678"):
+    return messages.Result("a/1", 0, int(code), body=body)
+
+
 def run_machine(machine, phases=tuple(hypothesis.Phase)):
     config = hypothesis.settings(
         derandomize=True,
