Notice closed connections between daemons

The file descriptor of a ZeroMQ socket is edge-triggered and signals nothing until its events were read once. The monitor sockets of the links were never read, so no link was ever lost with the reason "disconnected": calls to a daemon that had ended waited for heartbeats, and new ones were still sent to it for up to silence_ms and then counted as unknown.

Excluded: the monitor itself; a read by hand gave both events at once.

Test: 8 browse calls, a guard killed in the middle, heartbeats off.

--- a/mimosahaven/links.py
+++ b/mimosahaven/links.py
@@ -37,6 +37,8 @@
         self._closed = False
         self._scheduled = False
         self._loop.add_reader(self._fd, self._drain)
+        # The descriptor signals nothing before the events were read once.
+        self._schedule()
 
     def send(self, frames: list[bytes]) -> bool:
         """Sends without blocking; returns False when it cannot."""
--- a/tests/failures/test_restarted_daemon.py
+++ b/tests/failures/test_restarted_daemon.py
@@ -95,7 +95,24 @@
     return result.code, len(scene.runs())
 
 
+async def _closed_connection(scene) -> list[load.Send]:
+    """Kills a guard that runs idempotent calls."""
+    await scene.warm_up()
+    await scene.fleet.control_service(scenes.SERVICE, service_factor=RUN_FACTOR)
+    ids = [scene.new_id() for _ in range(CALLS)]
+    sent = [scene.start(kind="browse", id=id) for id in ids]
+    targets = {(await scene.until_run(id)).target for id in ids}
+    assert KILLED_GUARD in targets
+    scene.fleet.kill(f"{KILLED_GUARD}-daemon")
+    return await asyncio.gather(*sent)
+
+
 class RestartedDaemonTest(scenes.FailureTest):
+    def test_a_closed_connection_needs_no_heartbeat(self):
+        (answers,) = self.compare((_closed_connection, scenes.off("heartbeat")))
+        for answer in answers:
+            self.assertTrue(answer.succeeded, answer)
+
     def test_actions_sent_again_run_once(self):
         seen, no_ledger = self.compare(
             (_kill, {}), (_kill, scenes.off("ledger")), entries=2
