Test a planned stop with requests in flight

A daemon gets SIGTERM with 8 slow calls that still have nested calls to make, and with an upload whose body is on its way. New requests go to it and to another entry until the process has ended.

--- /dev/null
+++ b/tests/failures/test_planned_stop.py
@@ -0,0 +1,126 @@
+"""Guards against requests that a planned stop of a daemon cuts off."""
+
+import asyncio
+import dataclasses
+
+from testtools import matchers
+
+from mimosahaven import codes
+from mimosahaven import load
+from mimosahaven.testing import processes
+from tests.failures import scenes
+
+STOPPED, ENTRY = "fittings-1", "reservations-1"
+RUN_FACTOR = 100
+CALLS = 8
+CALL_INTERVAL_S = 0.05
+UPLOAD_PIECE = b"x" * 100_000
+DRAIN_MS = 4_000
+
+
+@dataclasses.dataclass
+class _Seen:
+    """What the callers were told around the stop.
+
+    Attributes:
+      in_flight: Answers to calls that ran when the stop began.
+      upload: Answer to the upload whose body was on its way.
+      refused: Answers of the stopped daemon to new requests.
+      elsewhere: Answers to the same requests at another entry.
+      later: Answers to requests at another entry until the process ended.
+      new_runs: New requests that ran at the stopped daemon's target.
+    """
+
+    in_flight: list[load.Send]
+    upload: load.Send
+    refused: list[load.Send]
+    elsewhere: list[load.Send]
+    later: list[load.Send]
+    new_runs: int
+    exit_code: int
+    violations: dict
+
+
+async def _upload_body(leaving: asyncio.Event):
+    yield UPLOAD_PIECE
+    await leaving.wait()
+    for _ in range(10):
+        await asyncio.sleep(CALL_INTERVAL_S)
+        yield UPLOAD_PIECE
+
+
+async def _stop(scene) -> _Seen:
+    fleet = scene.fleet
+    await scene.warm_up()
+    await fleet.control_service("fittings", service_factor=RUN_FACTOR)
+    leaving = asyncio.Event()
+    upload = scene.start(STOPPED, "upload", data=_upload_body(leaving))
+    in_flight_ids = [scene.new_id() for _ in range(CALLS)]
+    in_flight = [scene.start(ENTRY, "hold", id) for id in in_flight_ids]
+    for id in in_flight_ids:
+        await scene.until_run(id)
+    fleet.terminate(f"{STOPPED}-daemon")
+
+    async def is_leaving():
+        url = f"{fleet.node(STOPPED).entry_url}/-/status"
+        status = await processes.get_json(fleet.session, url)
+        return status and status["state"] == "leaving"
+
+    await scene.until(is_leaving, "leaving")
+    ids = [scene.new_id() for _ in range(CALLS)]
+    refused = await asyncio.gather(
+        *(scene.send(STOPPED, "hold", id) for id in ids)
+    )
+    leaving.set()
+    later = []
+    while fleet.process(f"{STOPPED}-daemon").running:
+        ids.append(scene.new_id())
+        later.append(scene.start(ENTRY, "hold", ids[-1]))
+        await asyncio.sleep(CALL_INTERVAL_S)
+    elsewhere = await asyncio.gather(
+        *(
+            scene.send(ENTRY, "hold", id)
+            for id, answer in zip(ids, refused, strict=False)
+            if not answer.succeeded
+        )
+    )
+    return _Seen(
+        await asyncio.gather(*in_flight),
+        await upload,
+        refused,
+        elsewhere,
+        await asyncio.gather(*later),
+        sum(run.id in ids and run.target == STOPPED for run in scene.runs()),
+        fleet.process(f"{STOPPED}-daemon").popen.returncode,
+        scene.violations(),
+    )
+
+
+class PlannedStopTest(scenes.FailureTest):
+    def test_nothing_in_flight_is_cut_off(self):
+        drained, cut = self.compare(
+            (_stop, {"drain_ms": DRAIN_MS}),
+            (_stop, {"drain_ms": DRAIN_MS, **scenes.off("drain")}),
+            entries=0,
+            fittings=2,
+            targets=1,
+        )
+        for answer in (
+            *drained.in_flight,
+            drained.upload,
+            *drained.elsewhere,
+            *drained.later,
+        ):
+            self.assertTrue(answer.succeeded, answer)
+        for answer in drained.refused:
+            self.assertThat(
+                (answer.code, answer.run),
+                matchers.Equals((codes.Code.LEAVING, "not-run")),
+            )
+        self.assertThat(drained.new_runs, matchers.Equals(0))
+        self.assertThat(drained.exit_code, matchers.Equals(0))
+        self.assertThat(drained.violations, matchers.Equals({}))
+        # Without the refusals there is always a call in flight, and the
+        # last ones are cut off.
+        self.assertThat(cut.new_runs, matchers.GreaterThan(0))
+        self.assertFalse(all(answer.succeeded for answer in cut.later))
