Test that a leaving target gets no new work

One target is listed as leaving; in the second test its daemon gets SIGTERM while a long call keeps it alive and the list still calls it live. Calls go through two entries.

On its own notice the daemon refused some calls of the first round, and none of the next 80 were sent to it; with drain off it went on running new calls.

--- a/tests/failures/scenes.py
+++ b/tests/failures/scenes.py
@@ -84,6 +84,8 @@
             settings=placement.merged(SETTINGS, settings or {}),
             **options,
         )
+        # Mechanisms that are switched off.
+        self.off = set((settings or {}).get("mechanisms", {}))
         self.requests: dict[str, load.Request] = {}
         self.start_s = 0.0
         self._numbers = itertools.count(1)
--- /dev/null
+++ b/tests/failures/test_leaving_target.py
@@ -0,0 +1,110 @@
+"""Guards against new work for a target that is leaving."""
+
+import asyncio
+
+from testtools import matchers
+
+from mimosahaven.testing import processes
+from tests.failures import scenes
+
+LEAVING, OTHER = "reservations-1", "reservations-2"
+ENTRIES = ("catalogue-1", "reservations-2")
+CALLS = 10
+# Rounds without a call to the leaving target until it counts as left alone.
+QUIET_ROUNDS = 4
+# Longer than the test: it keeps the leaving daemon alive.
+LONG_RUN_FACTOR = 4_000
+
+
+async def _round(scene) -> set[str]:
+    """Sends calls through all entries; returns the targets that ran them."""
+    ids = [scene.new_id() for _ in range(CALLS * len(ENTRIES))]
+    answers = await asyncio.gather(
+        *(
+            scene.send(ENTRIES[n % len(ENTRIES)], id=i)
+            for n, i in enumerate(ids)
+        )
+    )
+    failed = [answer for answer in answers if not answer.succeeded]
+    assert not failed, failed
+    return {run.target for run in scene.runs() if run.id in ids}
+
+
+async def _by_list(scene) -> tuple[set[str], dict]:
+    """Lists a target as leaving.
+
+    Returns:
+      The targets that got work before, and the violations.
+    """
+    before = await _round(scene)
+    await scene.fleet.put_members(2, {LEAVING: "leaving"})
+
+    async def left_alone():
+        targets = [await _round(scene) for _ in range(QUIET_ROUNDS)]
+        return all(LEAVING not in t for t in targets)
+
+    await scene.until(left_alone, "no new work")
+    return before, scene.violations()
+
+
+async def _by_notice(scene) -> tuple[set[str], set[str], int]:
+    """Lets a daemon leave without a word of the list.
+
+    Returns:
+      The targets that got work before and after, and how many calls the
+      leaving daemon had to refuse in the last rounds.
+    """
+    fleet = scene.fleet
+    before = await _round(scene)
+    await fleet.control(LEAVING, service_factor=LONG_RUN_FACTOR)
+
+    async def is_kept():
+        scene.start(kind="browse", timeout_ms=10_000)
+        return any(
+            run.target == LEAVING and run.outcome == "running"
+            for run in scene.runs()
+        )
+
+    await scene.until(is_kept, "long call")
+    fleet.terminate(f"{LEAVING}-daemon")
+
+    async def is_leaving():
+        url = f"{fleet.node(LEAVING).entry_url}/-/status"
+        status = await processes.get_json(fleet.session, url)
+        return status and status["state"] == "leaving"
+
+    await scene.until(is_leaving, "leaving")
+    await fleet.control(LEAVING, service_factor=1)
+    after = await _round(scene)
+
+    async def refused_some():
+        return _refused(scene)
+
+    if "drain" not in scene.off:
+        await scene.until(refused_some, "refusals")
+    refused = _refused(scene)
+    for _ in range(QUIET_ROUNDS):
+        after |= await _round(scene)
+    assert fleet.process(f"{LEAVING}-daemon").running
+    return before, after, _refused(scene) - refused
+
+
+def _refused(scene) -> int:
+    log = scene.fleet.process(f"{LEAVING}-daemon").log_path
+    return log.read_text().count(" LEAVING")
+
+
+class LeavingTargetTest(scenes.FailureTest):
+    def test_leaving_by_the_list(self):
+        ((before, violations),) = self.compare((_by_list, {}))
+        self.assertThat(before, matchers.Equals({LEAVING, OTHER}))
+        self.assertThat(violations, matchers.Equals({}))
+
+    def test_leaving_by_its_own_notice(self):
+        (before, after, refused), (_, undrained, _) = self.compare(
+            (_by_notice, {}), (_by_notice, scenes.off("drain"))
+        )
+        self.assertThat(before, matchers.Equals({LEAVING, OTHER}))
+        self.assertThat(after, matchers.Equals({OTHER}))
+        self.assertThat(refused, matchers.Equals(0))
+        self.assertIn(LEAVING, undrained)
