--- a/mimosahaven/targetclient.py
+++ b/mimosahaven/targetclient.py
@@ -1,5 +1,6 @@
 """HTTP client towards the local target."""
 
+import contextlib
 import dataclasses
 
 import aiohttp
@@ -99,7 +100,7 @@
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=remaining_ms / 1000),
             ) as response:
-                body = await response.read()
+                body = await self._read(response)
                 return self._answer(response, body)
         except TimeoutError:
             return Answer(Code.TIMEOUT, Outcome.TIMEOUT)
@@ -110,6 +111,16 @@
         except (aiohttp.ClientError, OSError):
             return Answer(Code.TARGET_LOST, Outcome.LOST)
 
+    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
+        """Reads the body; with whole_answers off, what there is of it."""
+        if self._settings.mechanisms.whole_answers:
+            return await response.read()
+        body = bytearray()
+        with contextlib.suppress(aiohttp.ClientPayloadError):
+            async for piece in response.content.iter_any():
+                body += piece
+        return bytes(body)
+
     def _answer(self, response: aiohttp.ClientResponse, body: bytes) -> Answer:
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
