Test answers of a target that break off or are slow

A hand-written target ends its answers in seven wrong ways and one right but slow one; a fake target truncates all its answers while another one of the service does not.

--- /dev/null
+++ b/tests/failures/test_broken_answers.py
@@ -0,0 +1,142 @@
+"""Guards against incomplete answers that are passed on as complete."""
+
+import asyncio
+import dataclasses
+import json
+
+from testtools import matchers
+
+from mimosahaven import codes
+from mimosahaven import load
+from mimosahaven.testing import invariants
+from tests.failures import scenes
+
+Code = codes.Code
+
+BROKEN, WHOLE = "reservations-1", "reservations-2"
+CALLS = 10
+DEADLINE_MS = 1_000
+PIECES = 10
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+# How an answer breaks off, and the codes that tell it.
+EXPECTED = {
+    "short": {Code.ANSWER_TRUNCATED},
+    "no-last-chunk": {Code.ANSWER_TRUNCATED},
+    "reset": {Code.ANSWER_TRUNCATED, Code.TARGET_LOST},
+    "half-a-head": {Code.TARGET_LOST},
+    "nothing": {Code.TARGET_LOST},
+    "not-http": {Code.TARGET_LOST},
+    "stalls": {Code.TIMEOUT},
+}
+SLOW = "slow"
+
+
+class _RawTarget:
+    """A target whose answers are written byte by byte.
+
+    The id of a request says how its answer goes wrong.
+    """
+
+    def __init__(self, node):
+        self._node = node
+        self._server = None
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(
+            self._serve, self._node.host, self._node.target_port
+        )
+        return self
+
+    async def __aexit__(self, *_error):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        fault = head.split(b"id=", 1)[1].split(b" ", 1)[0].decode()
+        body = json.dumps(
+            {"id": fault, "service": scenes.SERVICE, "path": "/reserve"}
+            | {"padding": "x" * 10_000, "end": True}
+        ).encode()
+        sized = HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
+        half = body[: len(body) // 2]
+        chunk = b"%x\r\n%b\r\n" % (len(half), half)
+        writer.write(
+            {
+                "short": sized + half,
+                "no-last-chunk": HEAD
+                + b"Transfer-Encoding: chunked\r\n\r\n"
+                + chunk,
+                "reset": sized + half,
+                "half-a-head": HEAD[: len(HEAD) // 2],
+                "nothing": b"",
+                "not-http": b"\x00\x01\x02 garbage\r\n\r\n",
+                "stalls": sized + half,
+                SLOW: sized,
+            }[fault]
+        )
+        if fault == SLOW:
+            for start in range(0, len(body), len(body) // PIECES):
+                await asyncio.sleep(DEADLINE_MS / 4 / PIECES / 1000)
+                writer.write(body[start : start + len(body) // PIECES])
+        elif fault == "stalls":
+            await reader.read()
+        await writer.drain()
+        if fault == "reset":
+            writer.transport.abort()
+        writer.close()
+
+
+async def _raw_answers(scene) -> dict[str, load.Send]:
+    """Asks one target for an answer of each kind."""
+    scene.fleet.kill(BROKEN)
+    await scene.fleet.process(BROKEN).wait_exit()
+    async with _RawTarget(scene.fleet.node(BROKEN)):
+        faults = [*EXPECTED, SLOW]
+        answers = await asyncio.gather(
+            *(scene.send(id=f, timeout_ms=DEADLINE_MS) for f in faults)
+        )
+    return dict(zip(faults, answers, strict=True))
+
+
+@dataclasses.dataclass
+class _Seen:
+    reserved: list[load.Send]
+    browsed: list[load.Send]
+    violations: dict
+
+
+async def _truncated(scene) -> _Seen:
+    """Lets one of two targets break off all its answers."""
+    await scene.fleet.control(BROKEN, truncate=True)
+    reserved, browsed = await asyncio.gather(
+        *(
+            asyncio.gather(*(scene.send(kind=kind) for _ in range(CALLS)))
+            for kind in ("reserve", "browse")
+        )
+    )
+    return _Seen(reserved, browsed, scene.violations())
+
+
+class BrokenAnswersTest(scenes.FailureTest):
+    def test_each_way_to_break_off(self):
+        (answers,) = self.compare((_raw_answers, {}), targets=1)
+        slow = answers.pop(SLOW)
+        self.assertTrue(slow.succeeded, slow)
+        for fault, answer in answers.items():
+            self.assertThat(answer.run, matchers.Equals("unknown"), fault)
+            self.assertIn(answer.code, EXPECTED[fault], fault)
+            self.assertThat(answer.status, matchers.GreaterThan(499), fault)
+
+    def test_truncated_answers_of_one_target(self):
+        seen, passed_on = self.compare(
+            (_truncated, {}), (_truncated, scenes.off("whole_answers"))
+        )
+        for answer in seen.browsed:
+            self.assertTrue(answer.succeeded, answer)
+        broken = [a for a in seen.reserved if not a.succeeded]
+        self.assertThat(
+            {(answer.code, answer.run) for answer in broken},
+            matchers.Equals({(Code.ANSWER_TRUNCATED, "unknown")}),
+        )
+        self.assertThat(seen.violations, matchers.Equals({}))
+        self.assertIn(invariants.OWN_ANSWER, passed_on.violations)
