--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -308,8 +308,9 @@
         self.quarantine.learn(strike, clock.monotonic_ms())
 
     def _publish_strikes(self, strikes: list[messages.Strike]) -> None:
+        now_ms = clock.monotonic_ms()
         for strike in strikes:
-            self.membership.add_strike(strike)
+            self.membership.add_strike(strike, now_ms)
             self._publish(strike)
 
     def _publish(self, message: messages.Message) -> None:
--- a/mimosahaven/dispatch.py
+++ b/mimosahaven/dispatch.py
@@ -155,7 +155,10 @@
         self, call: IncomingCall, row: table_lib.Row
     ) -> ServedCall:
         now_ms = clock.monotonic_ms()
-        remaining_ms = row.deadline_ms
+        # A ledger forgets a call when no copy of it can be in time any more.
+        remaining_ms = min(
+            row.deadline_ms, self._settings.ledger.action_window_ms
+        )
         if call.remaining_ms is not None:
             remaining_ms = min(remaining_ms, call.remaining_ms)
         deadline_ms = now_ms + remaining_ms
--- a/mimosahaven/guard.py
+++ b/mimosahaven/guard.py
@@ -180,8 +180,13 @@
         self, call: messages.Call, context: calls.CallContext
     ) -> messages.Result:
         fingerprint = identity.fingerprint(
-            call.caller, call.kind, call.method, call.path, call.body
+            call.caller,
+            call.kind,
+            call.method,
+            f"/{call.service}{call.path}",
+            call.body,
         )
+        self.suspects.learn(call.strikes, clock.monotonic_ms())
         if not await self.suspects.wait(fingerprint, context.deadline_ms):
             return self._refuse(call, Code.QUARANTINED)
         ticket = admission_lib.Ticket(
@@ -237,16 +242,18 @@
         )
         outcome = admission_lib.Outcome.LOST
         complete = False
+        strikes = []
         try:
             answer = await self._client.send(call, context)
             outcome = answer.outcome
             complete = answer.status != 0
         finally:
             self._registry.remove(call.call_id)
-            await self.suspects.end(fingerprint, complete, outcome)
+            strikes = await self.suspects.end(fingerprint, complete, outcome)
             self._finish(ticket, outcome, started_ms)
         now_ms = clock.monotonic_ms()
         result = self._result(call, answer.code, context.budget.remaining)
+        result.strikes = strikes
         result.status = answer.status
         result.headers = answer.headers
         result.body = answer.body
--- a/mimosahaven/inbox.py
+++ b/mimosahaven/inbox.py
@@ -1,5 +1,7 @@
 """Takes in the messages of other daemons and passes them to the parts."""
 
+import functools
+
 import msgspec
 
 from mimosahaven import attempts as attempts_lib
@@ -49,8 +51,13 @@
         self.on_event(now_ms)
         match message:
             case messages.Call():
+                # Without an answer the sender would wait until its deadline.
+                failed = attempts_lib.refusal(
+                    message.call_id, message.attempt, Code.INTERNAL
+                )
                 self._tasks.spawn(
-                    self._run_call(route, message, waited_ms, now_ms)
+                    self._run_call(route, message, waited_ms, now_ms),
+                    functools.partial(self._reply, route, failed),
                 )
             case messages.Inquire():
                 self._reply(route, self.guard.inquire(message, now_ms))
--- a/mimosahaven/router.py
+++ b/mimosahaven/router.py
@@ -44,6 +44,7 @@
       call_id: Identity of the call.
       context: The call or action that it is made for.
       headers: Headers for the target, without hop-by-hop ones.
+      strikes: Crashes that earlier attempts have caused.
     """
 
     call_id: str
@@ -53,6 +54,7 @@
     path: str
     headers: list[tuple[str, str]]
     body: bytes
+    strikes: list[messages.Strike] = dataclasses.field(default_factory=list)
 
     @property
     def idempotent(self) -> bool:
@@ -205,6 +207,7 @@
             sent_ms=0.0,
             remaining_ms=0.0,
             budget=part,
+            strikes=request.strikes,
         )
         started_ms = clock.monotonic_ms()
         self._chooser.begin(member.target, started_ms)
@@ -224,6 +227,7 @@
                 now_ms,
             )
         context.budget.give_back(min(part, result.unused_budget))
+        request.strikes += result.strikes
         self._learn(context, request.service, result, now_ms)
         return result
 
--- a/mimosahaven/settingsdoc.py
+++ b/mimosahaven/settingsdoc.py
@@ -78,6 +78,7 @@
     "gossip.join_peers": "Peers that a starting daemon asks.",
     "gossip.push_bytes_max": "Largest document that is pushed unasked.",
     "gossip.request_timeout_ms": "Time after which a document is asked again.",
+    "gossip.news_keep_ms": "How long a news item is passed on.",
     "gossip.news_max": "Largest number of news items in a digest.",
     "gossip.news_sends": "How often a daemon passes on each news item.",
     "gossip.read_timeout_ms": "Longest time for one read of the platform.",
--- a/mimosahaven/suspects.py
+++ b/mimosahaven/suspects.py
@@ -36,6 +36,11 @@
         )
         self.on_clear: Callable[[messages.Clear], None] = lambda clear: None
 
+    def learn(self, strikes: list[messages.Strike], now_ms: float) -> None:
+        """Takes in the strikes that came with a call."""
+        for strike in strikes:
+            self._quarantine.learn(strike, now_ms)
+
     async def wait(self, fingerprint: str, deadline_ms: float) -> bool:
         """Waits until a content may run; returns False when it may not."""
         while True:
@@ -61,29 +66,38 @@
 
     async def end(
         self, fingerprint: str, complete: bool, outcome: admission_lib.Outcome
-    ) -> None:
+    ) -> list[messages.Strike]:
         """Takes in the end of a call that was started.
 
         Args:
           fingerprint: Content of the call.
           complete: Whether the target gave a complete answer.
           outcome: How the call ended.
+
+        Returns:
+          The strikes of this content, if the target has crashed.
         """
         if complete:
             now_ms = clock.monotonic_ms()
             clear = self._quarantine.succeed(fingerprint, now_ms)
             if clear is not None:
                 self.on_clear(clear)
-            return
-        if outcome is admission_lib.Outcome.LOST and await self._crashed():
-            return
+            return []
+        if outcome is admission_lib.Outcome.LOST:
+            strikes = await self._crashed()
+            if strikes is not None:
+                return [s for s in strikes if s.fingerprint == fingerprint]
         self._quarantine.end(fingerprint)
+        return []
 
-    async def _crashed(self) -> bool:
+    async def _crashed(self) -> list[messages.Strike] | None:
         """Probes the target once for all calls that were lost together.
 
         The calls count as in flight until the probe has ended, so that each
         of them gets its strike.
+
+        Returns:
+          The strikes of the crash, or None when the target is up.
         """
         if self._probe is None:
             self._probe = asyncio.get_running_loop().create_task(
@@ -91,12 +105,12 @@
             )
         return await asyncio.shield(self._probe)
 
-    async def _probe_target(self) -> bool:
+    async def _probe_target(self) -> list[messages.Strike] | None:
         up = await self._client.accepts_connections()
         self._probe = None
         if up:
-            return False
+            return None
         strikes = self._quarantine.crash(clock.monotonic_ms())
         if strikes:
             self.on_strikes(strikes)
-        return True
+        return strikes
--- a/mimosahaven/targetclient.py
+++ b/mimosahaven/targetclient.py
@@ -1,6 +1,7 @@
 """HTTP client towards the local target."""
 
 import asyncio
+import contextlib
 import dataclasses
 
 import aiohttp
@@ -102,7 +103,7 @@
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=remaining_ms / 1000),
             ) as response:
-                body = await response.read()
+                body = await self._read(response)
                 return self._answer(response, body)
         except TimeoutError:
             return Answer(Code.TIMEOUT, Outcome.TIMEOUT)
@@ -126,6 +127,16 @@
         writer.close()
         return True
 
+    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
+        """Reads the body; with whole_answers off, what there is of it."""
+        if self._settings.mechanisms.whole_answers:
+            return await response.read()
+        body = bytearray()
+        with contextlib.suppress(aiohttp.ClientPayloadError):
+            async for piece in response.content.iter_any():
+                body += piece
+        return bytes(body)
+
     def _answer(self, response: aiohttp.ClientResponse, body: bytes) -> Answer:
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
