Keep reported faults from blocking a valid table

Cause: a daemon did not request a table whose hash any peer had reported as invalid. In an upgrade, a daemon of an older release would so keep newer ones from a large table. Only the daemon's own refusals count now, and a peer that has refused a table is not sent it again at each digest. Excluded: release numbers in the digest. Conclusion: a reported fault informs operators and decides nothing else.

--- a/mimosahaven/gossip.py
+++ b/mimosahaven/gossip.py
@@ -229,10 +229,13 @@
     def _answers(
         self, digest: messages.Digest, now_ms: float
     ) -> list[messages.Message]:
-        behind = messages.DocumentRequest(
-            digest.table_version, digest.list_version
+        table_version = digest.table_version
+        if any(f.text_hash == self._store.hash for f in digest.table_faults):
+            # The peer has refused this table; do not send it again.
+            table_version = self._store.version
+        newer = self._newer_documents(
+            messages.DocumentRequest(table_version, digest.list_version)
         )
-        newer = self._newer_documents(behind)
         small = [
             document
             for document in newer
@@ -269,11 +272,8 @@
         return documents
 
     def _wants_from(self, digest: messages.Digest) -> bool:
-        refused = any(
-            reported.fault.text_hash == digest.table_hash
-            for reported in self._store.faults
-        )
-        if digest.table_version > self._store.version and not refused:
+        newer = digest.table_version > self._store.version
+        if newer and not self._store.has_refused(digest.table_hash):
             return True
         known = max(self._view.version, self._refused_list)
         return digest.list_version > known
--- a/mimosahaven/news.py
+++ b/mimosahaven/news.py
@@ -75,6 +75,9 @@
     def __init__(self):
         self._keys: dict[Hashable, None] = {}
 
+    def __contains__(self, key: Hashable) -> bool:
+        return key in self._keys
+
     def add(self, key: Hashable) -> bool:
         """Adds a key; returns whether it was not in the set."""
         if key in self._keys:
--- a/mimosahaven/table.py
+++ b/mimosahaven/table.py
@@ -10,6 +10,7 @@
 from mimosahaven import codes
 from mimosahaven import errors
 from mimosahaven import messages
+from mimosahaven import news
 from mimosahaven import tabletext
 
 ANY = "*"
@@ -169,6 +170,7 @@
         self.since_ms = 0.0
         self._ordered = ordered
         self._faults: dict[tuple[int, int, str], ReportedFault] = {}
+        self._invalid = news.SeenSet()
 
     @property
     def version(self) -> int:
@@ -194,6 +196,7 @@
         try:
             table = parse_table(text)
         except ExceptionGroup as group:
+            self._invalid.add(offered_hash)
             details = tuple(error.detail for error in group.exceptions)
             return self._refuse(
                 Code.TABLE_INVALID, 0, offered_hash, details, source, now_ms
@@ -209,6 +212,14 @@
         self._drop_settled_faults()
         return TableChange(accepted=True)
 
+    def has_refused(self, offered_hash: str) -> bool:
+        """Whether this daemon itself found that text invalid.
+
+        The reports of others do not count: in an upgrade, a daemon of an
+        older release may refuse what is valid here.
+        """
+        return offered_hash in self._invalid
+
     def observe(
         self, version: int, peer_hash: str, source: str, now_ms: float
     ) -> None:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -5,6 +5,7 @@
 
 from mimosahaven import codes
 from mimosahaven import messages
+from mimosahaven import table
 from tests import gossipfleet
 
 # Design size: 450 daemons, 5 s to be in force everywhere, 11 KB/s.
@@ -50,7 +51,12 @@
     def test_large_documents_are_not_sent_twice(self):
         # Blind pushes of a large table would use up the daemon's bytes.
         fleet = gossipfleet.Fleet(90, DOMAINS)
-        size = len(gossipfleet.table_text(2, rows=500))
+        text = gossipfleet.table_text(2, rows=500)
+        size = len(text)
+        # A daemon of an older release may refuse what is valid here.
+        fault = messages.TableFault(5002, 2, table.text_hash(text), 1, "x")
+        for daemon in fleet.daemons.values():
+            daemon.store.take_fault(fault, "katalog-9", 0.0)
         publish(fleet, "katalog-3", 2, rows=500)
         fleet.run_until(lambda: fleet.versions() == {2}, IN_FORCE_MS)
         # Each byte counts for its sender and its receiver.
