--- a/mimosahaven/testing/targetcore.py
+++ b/mimosahaven/testing/targetcore.py
@@ -230,11 +230,10 @@
         except (aiohttp.ClientError, OSError) as error:
             raise NestedError(service, type(error).__name__) from error
         if response.status != 200:
+            code = response.headers.get("Mimosahaven-Code", "")
             raise NestedError(
                 service,
-                "status",
-                status=response.status,
-                code=response.headers.get("Mimosahaven-Code", ""),
+                f"status {response.status} code {code}",
                 run=response.headers.get("Mimosahaven-Run", ""),
             )
         answer = parse_answer(body)
