--- a/mimosahaven/admission.py
+++ b/mimosahaven/admission.py
@@ -86,6 +86,16 @@
         """Calls that may run at once."""
         return self._algorithm.limit if self._enabled else self._slots
 
+    @property
+    def running(self) -> int:
+        """Calls that run on the target."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Calls that wait."""
+        return len(self._queue)
+
     def offer(self, ticket: Ticket, now_ms: float) -> Verdicts:
         """Takes in a new call and returns the decisions that are due."""
         verdicts = Verdicts()
@@ -272,10 +282,8 @@
         """
         if not window.finished:
             self._service.decay()
-        important = window.important_ms / elapsed_ms
-        self._important_mean += CONCURRENCY_SMOOTHING * (
-            important - self._important_mean
-        )
+        change = window.important_ms / elapsed_ms - self._important_mean
+        self._important_mean += CONCURRENCY_SMOOTHING * change
         target_ms = max(
             self._settings.queue_wait_target_ms,
             self._settings.queue_wait_service_share * self._service.mean_ms,
--- a/mimosahaven/quarantine.py
+++ b/mimosahaven/quarantine.py
@@ -6,6 +6,7 @@
 
 from mimosahaven import messages
 from mimosahaven import settings as settings_lib
+from mimosahaven import status as status_lib
 
 
 class Admittance(enum.Enum):
@@ -191,6 +192,39 @@
         case.held_until_ms = float("-inf")
         return True
 
+    def recent_strikes(
+        self, now_ms: float, count_max: int
+    ) -> list[messages.Strike]:
+        """Returns strikes that count, newest cases first, for gossip.
+
+        They also reach daemons that were cut off or not yet started when the
+        strikes were published.
+        """
+        strikes: list[messages.Strike] = []
+        for fingerprint, case in reversed(self._cases.items()):
+            if len(strikes) >= count_max:
+                break
+            if case.is_suspect(now_ms):
+                strikes += [
+                    messages.Strike(fingerprint, crash_id, alone)
+                    for crash_id, alone in case.crashes.items()
+                ]
+        return strikes[:count_max]
+
+    def statuses(self, now_ms: float) -> list[status_lib.QuarantineStatus]:
+        """Returns the fingerprints that are suspect or held."""
+        return [
+            status_lib.QuarantineStatus(
+                fingerprint=fingerprint,
+                strikes=len(case.crashes),
+                held=now_ms < case.held_until_ms,
+                remaining_ms=max(case.held_until_ms, case.suspect_until_ms)
+                - now_ms,
+            )
+            for fingerprint, case in self._cases.items()
+            if case.is_suspect(now_ms)
+        ]
+
     def sweep(self, now_ms: float) -> None:
         """Forgets expired cases, and the oldest ones beyond the bound."""
         while self._cases:
--- a/mimosahaven/rowlimits.py
+++ b/mimosahaven/rowlimits.py
@@ -9,13 +9,10 @@
 from mimosahaven import fleet as fleet_lib
 from mimosahaven import settings as settings_lib
 from mimosahaven import table as table_lib
+from mimosahaven import tokenbucket
 
-# Weight of one round in the mean demand of a row.
-DEMAND_SMOOTHING = 0.3
 # Smaller amounts are not worth a message.
 AMOUNT_MIN = 0.01
-# Sums of fractions fall short of a whole token by rounding errors.
-ROUNDING = 1e-9
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,50 +30,6 @@
     amount: float
 
 
-class _Bucket:
-    """Tokens of one row at one daemon."""
-
-    def __init__(self, limit_per_s: float, now_ms: float):
-        self.limit_per_s = limit_per_s
-        self.tokens = 0.0
-        self.rate_per_s = 0.0
-        self.burst = 0.0
-        self.demand_per_s = 0.0
-        self.asked = 0
-        self._filled_ms = now_ms
-        self._lapse_ms = -math.inf
-
-    def fill(self, now_ms: float) -> None:
-        """Adds the tokens of the time that has passed."""
-        passed_s = max(0.0, now_ms - self._filled_ms) / 1000
-        self._filled_ms = max(now_ms, self._filled_ms)
-        if self.tokens < self.burst:
-            self.tokens = min(
-                self.burst, self.tokens + passed_s * self.rate_per_s
-            )
-        elif now_ms >= self._lapse_ms:
-            self.tokens = self.burst
-
-    def set_share(self, share: float, burst_ms: float, now_ms: float) -> None:
-        """Sets the part of the limit that this daemon may use."""
-        self.fill(now_ms)
-        self.rate_per_s = self.limit_per_s * share
-        self.burst = self.rate_per_s * burst_ms / 1000
-
-    def add_borrowed(self, amount: float, lapse_ms: float) -> None:
-        """Adds tokens above the burst; they lapse at a time."""
-        self.tokens += amount
-        self._lapse_ms = lapse_ms
-
-    def close_round(self, round_ms: float) -> None:
-        """Updates the mean demand at the end of a round."""
-        demand_per_s = self.asked * 1000 / round_ms
-        self.asked = 0
-        self.demand_per_s += DEMAND_SMOOTHING * (
-            demand_per_s - self.demand_per_s
-        )
-
-
 class RowLimiter:
     """Holds this daemon's share of the limit of each row.
 
@@ -91,7 +44,7 @@
         self._enabled = settings.mechanisms.row_limits
         self._target = settings.target.name
         self._rng = rng
-        self._buckets: dict[str, _Bucket] = {}
+        self._buckets: dict[str, tokenbucket.TokenBucket] = {}
         self._share = 0.0
         self._listed_ms: float | None = None
         self._settled = False
@@ -114,7 +67,7 @@
             bucket = self._buckets.get(row.row_id)
             is_new = bucket is None
             if bucket is None:
-                bucket = _Bucket(row.rate_limit_per_s, now_ms)
+                bucket = tokenbucket.TokenBucket(row.rate_limit_per_s, now_ms)
             bucket.fill(now_ms)
             bucket.limit_per_s = row.rate_limit_per_s
             self._set_share(bucket, now_ms)
@@ -170,12 +123,7 @@
         bucket = self._buckets.get(row.row_id)
         if bucket is None:
             return False
-        bucket.asked += 1
-        bucket.fill(now_ms)
-        if bucket.tokens < 1.0 - ROUNDING:
-            return False
-        bucket.tokens -= 1.0
-        return True
+        return bucket.take(now_ms)
 
     def surplus(self, now_ms: float) -> dict[str, float]:
         """Returns the tokens of each row that may be lent, for the digest."""
@@ -207,12 +155,20 @@
         if passed_ms < self._settings.ask_interval_ms:
             return []
         self._round_ms = now_ms
-        wants = []
+        short = []
         for row_id, bucket in self._buckets.items():
             bucket.close_round(passed_ms)
             shortage = self._shortage(bucket, now_ms)
             if shortage >= AMOUNT_MIN:
-                wants += self._ask(row_id, shortage, now_ms)
+                short.append((row_id, shortage))
+        # The requests of a round are bounded over all rows, because a control
+        # message costs the same in an overload that concerns many rows.
+        fanout = self._settings.ask_fanout
+        self._rng.shuffle(short)
+        wants = []
+        for row_id, shortage in short[:fanout]:
+            peer_count = max(1, fanout // len(short))
+            wants += self._ask(row_id, shortage, peer_count, now_ms)
         return wants
 
     def grant(self, row_id: str, amount: float, now_ms: float) -> float:
@@ -254,18 +210,24 @@
             for bucket in self._buckets.values():
                 self._set_share(bucket, now_ms)
 
-    def _set_share(self, bucket: _Bucket, now_ms: float) -> None:
+    def _set_share(
+        self, bucket: tokenbucket.TokenBucket, now_ms: float
+    ) -> None:
         share = self._share if self._settled else 0.0
         bucket.set_share(share, self._settings.burst_ms, now_ms)
 
-    def _own_need(self, bucket: _Bucket) -> float:
+    def _own_need(self, bucket: tokenbucket.TokenBucket) -> float:
         return bucket.demand_per_s * self._settings.ahead_ms / 1000
 
-    def _lendable(self, bucket: _Bucket, now_ms: float) -> float:
+    def _lendable(
+        self, bucket: tokenbucket.TokenBucket, now_ms: float
+    ) -> float:
         bucket.fill(now_ms)
         return max(0.0, bucket.tokens - self._own_need(bucket))
 
-    def _shortage(self, bucket: _Bucket, now_ms: float) -> float:
+    def _shortage(
+        self, bucket: tokenbucket.TokenBucket, now_ms: float
+    ) -> float:
         if bucket.demand_per_s < AMOUNT_MIN:
             return 0.0
         bucket.fill(now_ms)
@@ -274,7 +236,9 @@
         need = max(1.0, self._own_need(bucket))
         return need - bucket.tokens - income
 
-    def _ask(self, row_id: str, shortage: float, now_ms: float) -> list[Want]:
+    def _ask(
+        self, row_id: str, shortage: float, peer_count: int, now_ms: float
+    ) -> list[Want]:
         """Spreads a request over the peers that promise most."""
         since_ms = now_ms - self._settings.ask_again_ms
         free = [
@@ -287,7 +251,7 @@
             for peer in self._peers
             if self._asked_ms.get((peer, row_id), -math.inf) <= since_ms
         ]
-        chosen = sorted(free)[: self._settings.ask_fanout]
+        chosen = sorted(free)[:peer_count]
         for _, _, _, peer in chosen:
             self._asked_ms[(peer, row_id)] = now_ms
             if peer in self._surplus:
--- a/mimosahaven/settings.py
+++ b/mimosahaven/settings.py
@@ -89,7 +89,7 @@
     Attributes:
       burst_ms: Time whose tokens a bucket holds at most.
       ask_interval_ms: Time between two rounds of requests to peers.
-      ask_fanout: Peers asked for tokens of one row in one round.
+      ask_fanout: Requests for tokens in one round, over all rows.
       ask_again_ms: Time before the same peer is asked again.
       ahead_ms: Time for which a daemon keeps or borrows tokens in advance.
       keep_borrowed_ms: Time after which borrowed tokens above the burst
@@ -144,6 +144,7 @@
     heartbeat_ms: PositiveMs = 500
     silence_ms: PositiveMs = 1_200
     idle_ms: PositiveMs = 5_000
+    close_ms: PositiveMs = 20_000
     high_water_messages: Count = 10_000
 
 
@@ -162,6 +163,13 @@
     read_timeout_ms: PositiveMs = 1_000
     retry_ms: PositiveMs = 1_000
     join_wait_ms: PositiveMs = 1_000
+    join_peers: Count = 3
+    # Larger documents are announced, and sent on request: 4 blind pushes of
+    # a list of 450 VMs (75 KB) would bring each daemon 5 copies.
+    push_bytes_max: Count = 4_096
+    request_timeout_ms: PositiveMs = 1_000
+    news_max: Count = 8
+    news_sends: Count = 8
     share_settle_ms: PositiveMs = 10_000
 
 
--- a/mimosahaven/shedding.py
+++ b/mimosahaven/shedding.py
@@ -20,6 +20,8 @@
 # A service belongs to a pair when at least this share of its calls used it.
 USED_SHARE_MIN = 0.5
 USED_SMOOTHING = 0.05
+# Sums of fractions fall short of a whole call by rounding errors.
+ROUNDING = 1e-9
 
 
 class ShedThreshold:
@@ -247,7 +249,7 @@
         # The remainder of the credit lets exactly the share of calls through
         # that the age allows, and at least one in probe_one_in.
         pair.credit += min(effect, 1.0 - 1.0 / self._settings.probe_one_in)
-        if pair.credit < 1.0:
+        if pair.credit < 1.0 - ROUNDING:
             return False
         pair.credit -= 1.0
         return True
--- a/mimosahaven/targetclient.py
+++ b/mimosahaven/targetclient.py
@@ -1,5 +1,6 @@
 """HTTP client towards the local target."""
 
+import asyncio
 import contextlib
 import dataclasses
 
@@ -18,6 +19,8 @@
 # Below the idle limit of common HTTP servers (5 s), since a request on a
 # connection that the target is just closing has an unknown outcome.
 KEEPALIVE_S = 2.0
+# Longest time for a probe whether the target is up.
+PROBE_S = 0.5
 # Headers that hold for one connection only (RFC 9110, section 7.6.1), or
 # that the HTTP library sets by itself.
 HOP_HEADERS = frozenset(
@@ -87,7 +90,7 @@
         """Sends one call and waits for the whole answer."""
         remaining_ms = context.deadline_ms - clock.monotonic_ms()
         if remaining_ms <= 0:
-            return Answer(Code.DEADLINE_BEFORE_RUN, Outcome.REFUSED)
+            return Answer(Code.DEADLINE_BEFORE_RUN, Outcome.ERROR)
         headers = [*call.headers]
         headers.append((CONTEXT_HEADER, call.call_id))
         headers.append((DEADLINE_HEADER, f"{remaining_ms:.0f}"))
@@ -121,6 +124,19 @@
                 body += piece
         return bytes(body)
 
+    async def accepts_connections(self) -> bool:
+        """Returns whether the target accepts a new connection."""
+        endpoint = self._settings.target.endpoint
+        try:
+            _, writer = await asyncio.wait_for(
+                asyncio.open_connection(endpoint.host, endpoint.port),
+                PROBE_S,
+            )
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
     def _answer(self, response: aiohttp.ClientResponse, body: bytes) -> Answer:
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
