Stop at once with drain switched off

The switch only took the refusals away: the daemon still gave notice of its leave and waited for calls in flight, so since gossip is connected the naive version drained as well. Touches only the call in Daemon.run.

Test of a planned stop, drain off: 4 of 8 calls in flight were cut off and new ones became unknown; with drain all 8 and the upload were whole.

--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -217,7 +217,8 @@
             loop.add_signal_handler(number, stop_wanted.set)
         await self.start()
         await stop_wanted.wait()
-        await self.drain()
+        if self.settings.mechanisms.drain:
+            await self.drain()
         await self.stop()
 
     async def drain(self) -> None:
