Count early refusals and give bad HTTP a numbered code

Requests that the HTTP parser refuses got a bare 400 without code and run state. Refusals before the row is known (body too large, malformed, unknown caller or kind, leaving, resuming) were told to the caller and counted nowhere; they now count in the metric `results`.

Touches the uvicorn configuration in daemon.py and one line of Dispatcher.serve, where the row is looked up.

--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -196,7 +196,7 @@
                 app,
                 host=endpoint.host,
                 port=endpoint.port,
-                http="httptools",
+                http=entry.make_protocol(self.dispatcher),
                 loop="none",
                 ws="none",
                 lifespan="off",
--- a/mimosahaven/dispatch.py
+++ b/mimosahaven/dispatch.py
@@ -126,6 +126,10 @@
             return None
         return self._lifecycle.refuse_request(now_ms)
 
+    def count_refusal(self, code: Code) -> None:
+        """Counts a refusal of a request whose row is not known."""
+        self._stats.count_refusal(code)
+
     async def serve(self, call: IncomingCall) -> ServedCall:
         """Serves one request of a caller or of the local target."""
         parent = self._registry.get(call.parent_id) if call.parent_id else None
@@ -136,6 +140,7 @@
             code = Code.UNKNOWN_KIND
             if not self.table.knows_caller(call.caller):
                 code = Code.UNKNOWN_CALLER
+            self.count_refusal(code)
             return _served(attempts.refusal("", 0, code))
         served = await self._serve_action(call, row)
         self._stats.count(row, served.result)
--- a/mimosahaven/entry.py
+++ b/mimosahaven/entry.py
@@ -2,6 +2,7 @@
 
 import falcon
 import falcon.asgi
+from uvicorn.protocols.http import httptools_impl
 
 from mimosahaven import codes
 from mimosahaven import dispatch
@@ -30,6 +31,14 @@
     )
 )
 
+# The parser failed: nothing of the request can be relied on.
+_NOT_HTTP_ANSWER = (
+    "HTTP/1.1 400 Bad Request\r\n"
+    f"{CODE_HEADER}: {int(Code.MALFORMED)}\r\n"
+    f"{RUN_HEADER}: {codes.describe(Code.MALFORMED).run_state.value}\r\n"
+    "Content-Length: 0\r\nConnection: close\r\n\r\n"
+).encode()
+
 
 class BodyTooLargeError(Exception):
     """The body of a request is over the limit."""
@@ -80,20 +89,16 @@
                 req.headers.get(targetclient.CONTEXT_HEADER.lower(), "")
             )
             if refused is not None:
-                self._answer_refusal(resp, refused)
+                self._refuse(resp, refused)
                 return
             try:
                 body = await read_body(req, self._max_body_bytes)
+                call = self._parse(req, body)
             except BodyTooLargeError:
-                self._answer_refusal(resp, Code.BODY_TOO_LARGE)
-                return
-            except BodyTruncatedError:
-                self._answer_refusal(resp, Code.MALFORMED)
+                self._refuse(resp, Code.BODY_TOO_LARGE)
                 return
-            try:
-                call = self._parse(req, body)
-            except ValueError:
-                self._answer_refusal(resp, Code.MALFORMED)
+            except (BodyTruncatedError, ValueError):
+                self._refuse(resp, Code.MALFORMED)
                 return
             self._answer(resp, await dispatcher.serve(call))
 
@@ -126,6 +131,10 @@
             remaining_ms=deadline_ms,
         )
 
+    def _refuse(self, resp, code: Code) -> None:
+        self._dispatcher.count_refusal(code)
+        self._answer_refusal(resp, code)
+
     def _answer_refusal(self, resp, code: Code) -> None:
         info = codes.describe(code)
         resp.status = info.http_status
@@ -188,3 +197,16 @@
         app.add_route(path, resource)
     app.add_sink(Entry(dispatcher, max_body_bytes), prefix="/")
     return app
+
+
+def make_protocol(dispatcher: dispatch.Dispatcher) -> type:
+    """Returns uvicorn's protocol with a numbered code for bad HTTP."""
+
+    class Protocol(httptools_impl.HttpToolsProtocol):
+        def send_400_response(self, msg: str) -> None:
+            del msg
+            dispatcher.count_refusal(Code.MALFORMED)
+            self.transport.write(_NOT_HTTP_ANSWER)
+            self.transport.close()
+
+    return Protocol
--- a/mimosahaven/entrystats.py
+++ b/mimosahaven/entrystats.py
@@ -60,6 +60,10 @@
             code,
         )
 
+    def count_refusal(self, code: Code) -> None:
+        """Counts the refusal of a request that belongs to no row."""
+        self._metrics.count(Metric.RESULTS, suffix=code.name)
+
     def count(self, row: table_lib.Row, result: messages.Result) -> None:
         """Counts the outcome of a request."""
         counts = self._rows.setdefault(row.row_id, _RowCount())
