Test malformed input while a call is in flight

Ten faulty requests at an entry and eight kinds of bad frames, bare bytes, a message over the size limit and a newer protocol version at a link port.

--- /dev/null
+++ b/tests/failures/test_malformed_input.py
@@ -0,0 +1,218 @@
+"""Guards against input that stops a daemon or loses a call in flight."""
+
+import asyncio
+import collections
+import contextlib
+import json
+import socket
+
+from testtools import matchers
+
+from mimosahaven import codes
+from mimosahaven import messages
+from mimosahaven.testing import processes
+from tests.failures import scenes
+
+Code = codes.Code
+
+ENTRY, GUARD = "catalogue-1", "reservations-1"
+RUN_FACTOR = 200
+BODY_MAX = 10_000
+CALLER = b"Mimosahaven-Caller: bride\r\nMimosahaven-Kind: reserve\r\n"
+SIZED = b"Content-Length: %d\r\n\r\n%b"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n"
+BIG = b"x" * (BODY_MAX + 1)
+# Requests after their first line, and the code of the answer.
+REQUESTS = {
+    "bad deadline": (
+        Code.MALFORMED,
+        CALLER + b"Mimosahaven-Deadline-Ms: soon\r\n" + SIZED % (0, b""),
+    ),
+    "negative deadline": (
+        Code.MALFORMED,
+        CALLER + b"Mimosahaven-Deadline-Ms: -1\r\n" + SIZED % (0, b""),
+    ),
+    "no header value": (Code.MALFORMED, CALLER + b"\x00\x01\r\n\r\n"),
+    "bad length": (Code.MALFORMED, CALLER + b"Content-Length: x\r\n\r\n"),
+    "big body": (Code.BODY_TOO_LARGE, CALLER + SIZED % (len(BIG), BIG)),
+    "big chunk": (Code.BODY_TOO_LARGE, CALLER + CHUNKED % (len(BIG), BIG)),
+    "bad action": (
+        Code.BAD_ACTION_ID,
+        CALLER + b"Mimosahaven-Action: a.b\r\n" + SIZED % (0, b""),
+    ),
+    "no caller": (Code.UNKNOWN_CALLER, SIZED % (0, b"")),
+    "unknown caller": (
+        Code.UNKNOWN_CALLER,
+        b"Mimosahaven-Caller: nobody\r\n" + SIZED % (0, b""),
+    ),
+    "unknown kind": (
+        Code.UNKNOWN_KIND,
+        b"Mimosahaven-Caller: bride\r\nMimosahaven-Kind: x\r\n"
+        + SIZED % (0, b""),
+    ),
+}
+HELLO = messages.encode(messages.Hello("peer", "0" * 16, 0.0))
+# Frames at the link port that are no message.
+FRAMES = (
+    (b"",),
+    (b"\x00garbage",),
+    (HELLO[:1],),
+    (HELLO[:-1],),
+    (HELLO[:1] + b"\x93\xff\xff\xff",),
+    (HELLO[:1] + b"\xc1" * 1_000,),
+    (HELLO, HELLO),
+    # A newer version of the protocol.
+    (bytes([HELLO[0] + 1]) + HELLO[1:],),
+)
+
+
+async def _post(node, rest: bytes, line=b"POST /reservations/reserve") -> bytes:
+    reader, writer = await asyncio.open_connection(node.host, node.entry_port)
+    writer.write(line + b" HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + rest)
+    try:
+        async with asyncio.timeout(scenes.CONDITION_LIMIT_S):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+def _code(answer: bytes) -> tuple[int, bytes]:
+    """Returns code and run state of an answer."""
+    head = answer.split(b"\r\n\r\n")[0].lower()
+    fields = dict(line.split(b": ", 1) for line in head.split(b"\r\n")[1:])
+    return (
+        int(fields.get(b"mimosahaven-code", 0)),
+        fields.get(b"mimosahaven-run", b""),
+    )
+
+
+async def _status(scene, name: str) -> dict:
+    url = f"{scene.fleet.node(name).entry_url}/-/status"
+    return await processes.get_json(scene.fleet.session, url)
+
+
+async def _with_call_in_flight(scene, feed):
+    """Feeds input to daemons while a reservation runs.
+
+    Returns:
+      What `feed` returned, the answer to the reservation and the violations.
+    """
+    table = scene.fleet.deployment.table(version=2)
+    table["rows"] = [row for row in table["rows"] if row["caller"] != "*"]
+    await scene.fleet.put_table(json.dumps(table))
+
+    async def in_force():
+        status = await _status(scene, ENTRY)
+        return status["table"]["version"] == 2
+
+    await scene.until(in_force, "table")
+    await scene.fleet.control_service(scenes.SERVICE, service_factor=RUN_FACTOR)
+    id = scene.new_id()
+    call = scene.start(ENTRY, id=id)
+    await scene.until_run(id)
+    seen = await feed(scene)
+    return seen, await call, scene.violations()
+
+
+def _entry(statsd: socket.socket):
+    async def feed(scene):
+        node = scene.fleet.node(ENTRY)
+        told = {
+            name: _code(await _post(node, rest))
+            for name, (_, rest) in REQUESTS.items()
+        }
+        counted = collections.Counter()
+
+        async def all_counted():
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    for line in statsd.recv(65_536).decode().splitlines():
+                        name, value = line.removesuffix("|c").split(":")
+                        code = name.removeprefix(f"t.{ENTRY}.results.")
+                        if code in Code.__members__:
+                            counted[Code[code]] += int(value)
+            return counted.total() >= len(told)
+
+        await scene.until(all_counted, "counts")
+        return told, counted
+
+    return lambda scene: _with_call_in_flight(scene, feed)
+
+
+async def _link(scene):
+    async def feed(scene):
+        node = scene.fleet.node(GUARD)
+        # Bytes that are no ZeroMQ at all.
+        _, writer = await asyncio.open_connection(node.host, node.link_port)
+        writer.write(b"GET / HTTP/1.1\r\n\r\n" + bytes(range(256)) * 100)
+        async with scenes.Peer(node) as peer:
+            before = await peer.incarnation()
+            for frames in FRAMES:
+                await peer.send(*frames)
+            # Messages that only an answering daemon sends.
+            await peer.send(messages.encode(messages.Result("x", 0, 1000)))
+            await peer.send(messages.encode(messages.Pong(0.0, 0.0)))
+            wrong = scenes.make_call("late", "0" * 16)
+            refused = await peer.ask(wrong, messages.Result)
+            after = await peer.incarnation()
+        async with scenes.Peer(node) as big:
+            await big.send(HELLO[:1] + b"x" * 4 * 1_048_576)
+        writer.close()
+        status = await _status(scene, GUARD)
+        log = scene.fleet.process(f"{GUARD}-daemon").log_path.read_text()
+        return (
+            before == after,
+            refused.code,
+            status["messages_malformed"],
+            {code for code in Code if f"dropped: {int(code)} " in log},
+        )
+
+    return await _with_call_in_flight(scene, feed)
+
+
+class MalformedInputTest(scenes.FailureTest):
+    def test_requests_at_an_entry(self):
+        with socket.socket(type=socket.SOCK_DGRAM) as statsd:
+            statsd.bind(("127.0.0.1", 0))
+            statsd.setblocking(False)
+            host, port = statsd.getsockname()
+            metrics = {
+                "endpoint": {"host": host, "port": port},
+                "prefix": "t",
+                "interval_ms": 50,
+            }
+            ((seen, call, violations),) = self.compare(
+                (
+                    _entry(statsd),
+                    {"max_body_bytes": BODY_MAX, "metrics": metrics},
+                ),
+                targets=1,
+            )
+        told, counted = seen
+        expected = {
+            name: (code, b"not-run") for name, (code, _) in REQUESTS.items()
+        }
+        self.assertThat(told, matchers.Equals(expected))
+        self.assertThat(
+            counted,
+            matchers.Equals(
+                collections.Counter(code for code, _ in REQUESTS.values())
+            ),
+        )
+        self.assertTrue(call.succeeded, call)
+        self.assertThat(violations, matchers.Equals({}))
+
+    def test_messages_at_a_link_port(self):
+        ((seen, call, violations),) = self.compare(
+            (_link, {"max_body_bytes": BODY_MAX}), targets=1
+        )
+        lived, refused, malformed, logged = seen
+        self.assertTrue(lived)
+        self.assertThat(refused, matchers.Equals(Code.WRONG_INCARNATION))
+        # ZeroMQ takes some of the bare bytes for an old greeting and frames.
+        self.assertThat(malformed, matchers.GreaterThan(len(FRAMES) - 1))
+        self.assertThat(
+            logged, matchers.Equals({Code.MALFORMED, Code.VERSION_UNSUPPORTED})
+        )
+        self.assertTrue(call.succeeded, call)
+        self.assertThat(violations, matchers.Equals({}))
