--- a/mimosahaven/targetclient.py
+++ b/mimosahaven/targetclient.py
@@ -114,6 +114,16 @@
         except (aiohttp.ClientError, OSError):
             return Answer(Code.TARGET_LOST, Outcome.LOST)
 
+    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
+        """Reads the body; with whole_answers off, what there is of it."""
+        if self._settings.mechanisms.whole_answers:
+            return await response.read()
+        body = bytearray()
+        with contextlib.suppress(aiohttp.ClientPayloadError):
+            async for piece in response.content.iter_any():
+                body += piece
+        return bytes(body)
+
     async def accepts_connections(self) -> bool:
         """Returns whether the target accepts a new connection."""
         endpoint = self._settings.target.endpoint
@@ -127,16 +137,6 @@
         writer.close()
         return True
 
-    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
-        """Reads the body; with whole_answers off, what there is of it."""
-        if self._settings.mechanisms.whole_answers:
-            return await response.read()
-        body = bytearray()
-        with contextlib.suppress(aiohttp.ClientPayloadError):
-            async for piece in response.content.iter_any():
-                body += piece
-        return bytes(body)
-
     def _answer(self, response: aiohttp.ClientResponse, body: bytes) -> Answer:
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
