--- a/mimosahaven/channel.py
+++ b/mimosahaven/channel.py
@@ -12,10 +12,12 @@
 
 @dataclasses.dataclass
 class Traffic:
-    """Bytes of the frames that channels have carried."""
+    """Messages that channels have carried, and bytes of their frames."""
 
     sent_bytes: int = 0
     received_bytes: int = 0
+    sent_count: int = 0
+    received_count: int = 0
 
 
 class Channel:
@@ -49,6 +51,7 @@
             # edge of a message that has arrived meanwhile.
             self._schedule()
         self._traffic.sent_bytes += sum(map(len, frames))
+        self._traffic.sent_count += 1
         return True
 
     def close(self, linger_ms: int = 0) -> None:
@@ -76,5 +79,6 @@
             except zmq.ZMQError:
                 return
             self._traffic.received_bytes += sum(map(len, frames))
+            self._traffic.received_count += 1
             self._on_frames(frames)
         self._schedule()
--- a/mimosahaven/status.py
+++ b/mimosahaven/status.py
@@ -144,6 +144,10 @@
       messages_malformed: Messages of other daemons that were dropped.
       bytes_sent: Bytes of all messages to other daemons since the start.
       bytes_received: Bytes of all messages from other daemons.
+      messages_sent: Messages to other daemons since the start.
+      messages_received: Messages from other daemons since the start.
+      links: Open links to other daemons.
+      routes: Daemons that sent here in the last minute.
       log_lines_dropped: Log lines that standard error did not take.
     """
 
@@ -169,6 +173,10 @@
     messages_malformed: int = 0
     bytes_sent: int = 0
     bytes_received: int = 0
+    messages_sent: int = 0
+    messages_received: int = 0
+    links: int = 0
+    routes: int = 0
     log_lines_dropped: int = 0
 
 
--- a/mimosahaven/statuspage.py
+++ b/mimosahaven/statuspage.py
@@ -82,6 +82,10 @@
         messages_malformed=daemon.hub.malformed_count,
         bytes_sent=daemon.hub.traffic.sent_bytes,
         bytes_received=daemon.hub.traffic.received_bytes,
+        messages_sent=daemon.hub.traffic.sent_count,
+        messages_received=daemon.hub.traffic.received_count,
+        links=len(daemon.hub.links()),
+        routes=len(daemon.hub.routes()),
         log_lines_dropped=daemon.sink.dropped_count,
     )
 
