Tick an idle daemon every 100 ms in place of 20 ms

Cause: the tick of the daemon (links, guard, row limits, log) ran 50 times a second, also without any call. The shortest period that is due without work in flight is the window of the shed threshold, 100 ms.

Excluded: receiving and sending of gossip; bytes and messages are equal.

With a call or request in flight the tick is as before.

--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -40,6 +40,9 @@
 from mimosahaven import tasks as tasks_lib
 
 TICK_MS = 20
+# Without work in flight nothing is due sooner than the window of the shed
+# threshold; 50 ticks a second cost an idle daemon over 1% of a core.
+IDLE_TICK_MS = 100
 # Time for the news of leaving to reach peers while new calls are refused.
 LEAVE_NOTICE_MS = 500
 
@@ -348,5 +351,6 @@
             self._borrow(now_ms)
             self.log.flush()
             self.metrics.tick(now_ms)
-            due_ms = clock.monotonic_ms() + TICK_MS
-            await asyncio.sleep(TICK_MS / 1000)
+            tick_ms = TICK_MS if self.in_flight_count else IDLE_TICK_MS
+            due_ms = clock.monotonic_ms() + tick_ms
+            await asyncio.sleep(tick_ms / 1000)
