Count every repeated answer to an attempt

A copy of a result that arrived in the same turn of the loop as the result itself was put among the answers to inquiries and not counted. The caller was never given it. Inquiries after the fact now take a late result as an answer, where the first one was ignored.

--- a/mimosahaven/attempts.py
+++ b/mimosahaven/attempts.py
@@ -38,6 +38,11 @@
     outcome: asyncio.Future
     replies: asyncio.Queue
 
+    @property
+    def resolved(self) -> bool:
+        """Whether the result is known without an inquiry."""
+        return self.outcome.done() and self.outcome.result() is not None
+
 
 def refusal(call_id: str, attempt: int, code: Code) -> messages.Result:
     """Returns a result without an answer of the target."""
@@ -146,6 +151,8 @@
             asyncio.get_running_loop().create_future(),
             asyncio.Queue(),
         )
+        # A late result is as good as an answer to the inquiry.
+        sent.outcome.set_result(None)
         key = (call_id, attempt)
         self._sent[key] = sent
         call = messages.Inquire(call_id, attempt, incarnation)
@@ -220,8 +227,10 @@
         sent = self._sent.get((message.call_id, message.attempt))
         if sent is None or sent.member.target != link.target:
             self.unmatched_count += 1
-            return
-        if isinstance(message, messages.Result) and not sent.outcome.done():
+        elif sent.resolved:
+            # A copy that arrived before the waiting task has gone on.
+            self.unmatched_count += 1
+        elif isinstance(message, messages.Result) and not sent.outcome.done():
             sent.outcome.set_result(message)
         else:
             sent.replies.put_nowait(message)
