--- /dev/null
+++ b/mimosahaven/httpserver.py
@@ -0,0 +1,40 @@
+"""HTTP server of the entry."""
+
+import contextlib
+
+import uvicorn
+
+
+class Server(uvicorn.Server):
+    """A uvicorn server that leaves the signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Installs no handlers."""
+        yield
+
+
+def make_server(app, host: str, port: int, protocol: type) -> Server:
+    """Returns the server of an ASGI application.
+
+    Args:
+      app: The application.
+      host: Address that it listens on.
+      port: Port that it listens on.
+      protocol: Protocol class of its connections.
+    """
+    return Server(
+        uvicorn.Config(
+            app,
+            host=host,
+            port=port,
+            http=protocol,
+            loop="none",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+        )
+    )
