Read a channel once after it is created

Cause: the file descriptor of a ZeroMQ socket is edge-triggered and stays quiet about what came before the first receive. The monitor event of a new connection was therefore not seen, and the Hello waited for the next tick (20 ms, and 100 ms in an idle daemon).

Shown by a select() on the descriptor of a monitor socket: not readable, while a receive returns the event.

--- a/mimosahaven/channel.py
+++ b/mimosahaven/channel.py
@@ -37,6 +37,9 @@
         self._closed = False
         self._scheduled = False
         self._loop.add_reader(self._fd, self._drain)
+        # The file descriptor stays quiet about what came before the first
+        # receive; the event of a new connection was missed this way.
+        self._loop.call_soon(self._drain)
 
     def send(self, frames: list[bytes]) -> bool:
         """Sends without blocking; returns False when it cannot."""
