Send heartbeats on links with calls only, and let dead links end

Cause 1: a digest counted as use of a link, so that each of the two random peers of a gossip round got heartbeats for 5 s afterwards. The settings document idle_ms as the time without calls. A message that nobody waits for is now followed by heartbeats only until something is heard.

Cause 2: a silent link was replaced by one that took its creation for a use, so that a link to a target that had left the list was replaced every 1.2 s for ever. The new link takes over the times of the old one.

--- a/mimosahaven/links.py
+++ b/mimosahaven/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 import zmq
 from loguru import logger
@@ -49,7 +50,10 @@
         self.incarnation = ""
         self.up = asyncio.Event()
         self.last_used_ms = clock.monotonic_ms()
+        self.last_call_ms = -math.inf
         self.last_heard_ms = self.last_used_ms
+        # Nothing has been heard since the last message was sent.
+        self.unanswered = False
         self.last_ping_ms = 0.0
         self._hub = hub
         socket = hub.context.socket(zmq.DEALER)
@@ -70,8 +74,21 @@
         socket.connect(endpoint)
 
     def send(self, message: messages.Message, now_ms: float) -> bool:
-        """Sends a message; returns False when the link cannot take it."""
+        """Sends a message; returns False when the link cannot take it.
+
+        Heartbeats follow until idle_ms after the last such message.
+        """
+        self.last_call_ms = now_ms
+        return self.send_once(message, now_ms)
+
+    def send_once(self, message: messages.Message, now_ms: float) -> bool:
+        """Sends a message that nobody waits for.
+
+        Heartbeats follow only until something is heard, so that gossip with
+        changing peers does not keep up the heartbeats of many links.
+        """
         self.last_used_ms = now_ms
+        self.unanswered = True
         return self._channel.send([messages.encode(message)])
 
     def hello(self, now_ms: float) -> None:
@@ -105,6 +122,7 @@
         if message is None:
             return
         self.last_heard_ms = now_ms
+        self.unanswered = False
         if isinstance(message, messages.HelloAck):
             self._hub.welcome(self, message)
         elif not isinstance(message, messages.Pong):
@@ -216,7 +234,11 @@
             return
         link.close()
         if replace:
-            self._links[link.target] = Link(self, link.target, link.endpoint)
+            new = Link(self, link.target, link.endpoint)
+            # A link to a target that is gone would never count as unused.
+            new.last_used_ms = link.last_used_ms
+            new.last_call_ms = link.last_call_ms
+            self._links[link.target] = new
         else:
             del self._links[link.target]
         logger.info("{} {} lost: {}", PREFIX, link.target, reason)
@@ -243,7 +265,10 @@
                 link.close()
                 del self._links[link.target]
                 continue
-            if unused_ms > limits.idle_ms:
+            watched = link.unanswered or not link.up.is_set()
+            if now_ms - link.last_call_ms <= limits.idle_ms:
+                watched = True
+            if unused_ms > limits.idle_ms or not watched:
                 link.last_heard_ms = now_ms
                 continue
             if now_ms - link.last_heard_ms > limits.silence_ms:
--- a/mimosahaven/peerlinks.py
+++ b/mimosahaven/peerlinks.py
@@ -22,7 +22,7 @@
         """Sends a message without blocking; it may be lost."""
         link = self._hub.link_to(member.target, member.host, member.link_port)
         if link.up.is_set():
-            link.send(message, clock.monotonic_ms())
+            link.send_once(message, clock.monotonic_ms())
             return
         waiting = self._waiting.setdefault(member.target, [])
         waiting.append(message)
@@ -36,4 +36,4 @@
     def on_link_up(self, link: links_lib.Link, now_ms: float) -> None:
         """Sends what has waited for a link."""
         for message in self._waiting.pop(link.target, ()):
-            link.send(message, now_ms)
+            link.send_once(message, now_ms)
