Count the bytes of records and the time of control operations

Cause: the capacity page needs the bytes of each record and the time of each control operation. Excluded: estimates from the size of fields.

--- /dev/null
+++ b/bench/recordsizes.py
@@ -0,0 +1,207 @@
+"""Bytes per record and time per operation, for docs/CAPACITY.md."""
+
+import collections
+import json
+import random
+import time
+import tracemalloc
+
+from mimosahaven import actionrecords
+from mimosahaven import balancing
+from mimosahaven import budget
+from mimosahaven import codes
+from mimosahaven import decisions
+from mimosahaven import fleet
+from mimosahaven import gossip
+from mimosahaven import identity
+from mimosahaven import ledger
+from mimosahaven import messages
+from mimosahaven import settings as settings_lib
+from mimosahaven import table
+from mimosahaven import watching
+
+RECORDS = 5_000
+ROUNDS = 1_000
+MEMBERS = 450
+DOMAINS = 9
+SERVICES = 25
+OK = int(codes.Code.OK)
+ROWS = 100
+
+
+def make_settings() -> settings_lib.Settings:
+    """Returns settings with the defaults."""
+    endpoint = {"host": "127.0.0.1", "port": 1}
+    return settings_lib.Settings(
+        target=settings_lib.TargetSettings(
+            name="service0-1",
+            service="service0",
+            failure_domain="fd-0",
+            endpoint=endpoint,
+        ),
+        entry=endpoint,
+        link=endpoint,
+    )
+
+
+def listing_text() -> str:
+    """Returns a list of VMs of the design size."""
+    members = [
+        {
+            "target": f"service{n % SERVICES}-{n // SERVICES + 1}",
+            "service": f"service{n % SERVICES}",
+            "failure_domain": f"fd-{n % DOMAINS}",
+            "region": f"region-{n % DOMAINS // 3}",
+            "host": f"127.0.0.{n % DOMAINS + 1}",
+            "entry_port": 10_000 + n,
+            "link_port": 20_000 + n,
+            "state": "live",
+        }
+        for n in range(MEMBERS)
+    ]
+    return json.dumps({"version": 1, "members": members})
+
+
+def table_text() -> str:
+    """Returns a table with a hundred rows and the services."""
+    rows = [
+        {
+            "caller": f"caller{n // 4}",
+            "kind": f"kind{n % 4}",
+            "weight": n,
+            "idempotent": n % 2 == 0,
+            "deadline_ms": 3_000,
+            "retry_budget": 3,
+            "rate_limit_per_s": 200,
+        }
+        for n in range(ROWS)
+    ]
+    services = {f"service{n}": {} for n in range(SERVICES)}
+    return json.dumps({"version": 1, "rows": rows, "services": services})
+
+
+def bytes_of(make) -> tuple[float, object]:
+    """Returns the memory that the result of `make` holds, and the result."""
+    make()
+    tracemalloc.start()
+    kept = make()
+    used_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return used_bytes, kept
+
+
+def us_per(operation, rounds: int = ROUNDS) -> float:
+    """Returns the processor time of one operation in microseconds."""
+    start_s = time.process_time()
+    for _ in range(rounds):
+        operation()
+    return (time.process_time() - start_s) / rounds * 1e6
+
+
+def action(number: int) -> identity.ActionId:
+    """Returns an action id."""
+    return identity.ActionId("service0-1", "1" * 16, 10**12, number)
+
+
+def make_ledger(settings, tombstones: bool, body_bytes: int):
+    """Returns a ledger full of tombstones, or of outcomes."""
+    kept = ledger.Ledger(settings)
+    for number in range(1, RECORDS + 1):
+        call_id = f"{action(number)}/1.2"
+        if tombstones:
+            kept.inquire(call_id, 0.0)
+            continue
+        kept.begin(call_id, 0, False, 0.0)
+        result = messages.Result(call_id, 0, OK, 200, [], b"x" * body_bytes)
+        kept.finish(call_id, result, 0.0)
+    return kept
+
+
+def make_actions(settings):
+    """Returns the records of settled actions, with bodies of 100 bytes."""
+    records = actionrecords.ActionRecords(settings)
+    for number in range(1, RECORDS + 1):
+        record = actionrecords.Record(
+            action(number),
+            f"{number:032x}",
+            False,
+            budget.ChainBudget(3),
+            "",
+            True,
+        )
+        records.add(record)
+        record.place = actionrecords.Place(f"s-{number}", "1" * 16, 0)
+        result = messages.Result(
+            f"{action(number)}/1", 0, OK, 200, [], b"x" * 100
+        )
+        records.settle(record, result, actionrecords.RunState.RAN, 10.0**12)
+    return records
+
+
+def make_decisions():
+    """Returns decisions as the router makes them."""
+    return collections.deque(
+        decisions.Decision(
+            at_ms=number + 0.5,
+            part=decisions.Part.ROUTE,
+            call_id=f"{action(number)}/1.2",
+            choice=f"to service0-{number}",
+            reason="lower score of two",
+            weighed=tuple(
+                balancing.Weighed(f"service0-{n}", number + 0.1)
+                for n in range(2)
+            ),
+        )
+        for number in range(RECORDS)
+    )
+
+
+def make_view():
+    """Returns the view of a fleet of the design size."""
+    view = fleet.FleetView()
+    view.apply_list(fleet.parse_list(listing_text()), 0.0)
+    for member in view.members.values():
+        report = messages.SelfReport(
+            member.target, member.service, "1" * 16, fleet.READY, 2
+        )
+        view.apply_self_report(report, 0.0)
+    return view
+
+
+def measure() -> dict:
+    """Returns all figures."""
+    settings = make_settings()
+    result = {}
+    for name, make in (
+        ("ledger_tombstone", lambda: make_ledger(settings, True, 0)),
+        ("ledger_answer_100", lambda: make_ledger(settings, False, 100)),
+        ("action_record_answer_100", lambda: make_actions(settings)),
+        ("decision", make_decisions),
+    ):
+        result[f"{name}_bytes"] = bytes_of(make)[0] / RECORDS
+    view_bytes, view = bytes_of(make_view)
+    listing = listing_text()
+    rows = table_text()
+    result["list_text_bytes"] = len(listing)
+    result["view_bytes"] = view_bytes
+    result["table_text_bytes"] = len(rows)
+    result["table_bytes"] = bytes_of(lambda: table.parse_table(rows))[0]
+    store = table.TableStore(True)
+    store.offer(rows, "platform", 0.0)
+    talk = gossip.Gossip(settings, "1" * 16, view, store, random.Random(1))
+    digest = talk.digest(0.0)
+    result["digest_bytes"] = len(messages.encode(digest))
+    result["us"] = {
+        "parse_list": us_per(lambda: fleet.parse_list(listing), 20),
+        "parse_table": us_per(lambda: table.parse_table(rows), 3),
+        "gossip_round": us_per(lambda: talk.round(0.0)),
+        "is_watcher": us_per(lambda: watching.is_watcher(view, settings)),
+        "take_digest": us_per(
+            lambda: talk.on_message(digest, "service1-1", 0.0)
+        ),
+    }
+    return result
+
+
+if __name__ == "__main__":
+    print(json.dumps(measure(), indent=1))
