--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -199,7 +199,7 @@
                 app,
                 host=endpoint.host,
                 port=endpoint.port,
-                http="httptools",
+                http=entry.make_protocol(self.dispatcher),
                 loop="none",
                 ws="none",
                 lifespan="off",
@@ -220,7 +220,8 @@
             loop.add_signal_handler(number, stop_wanted.set)
         await self.start()
         await stop_wanted.wait()
-        await self.drain()
+        if self.settings.mechanisms.drain:
+            await self.drain()
         await self.stop()
 
     async def drain(self) -> None:
@@ -311,8 +312,9 @@
         self.quarantine.learn(strike, clock.monotonic_ms())
 
     def _publish_strikes(self, strikes: list[messages.Strike]) -> None:
+        now_ms = clock.monotonic_ms()
         for strike in strikes:
-            self.membership.add_strike(strike)
+            self.membership.add_strike(strike, now_ms)
             self._publish(strike)
 
     def _publish(self, message: messages.Message) -> None:
--- a/mimosahaven/tasks.py
+++ b/mimosahaven/tasks.py
@@ -1,6 +1,8 @@
 """Tasks of the event loop that are kept until they end."""
 
 import asyncio
+import functools
+from collections.abc import Callable
 from collections.abc import Coroutine
 
 from loguru import logger
@@ -12,14 +14,30 @@
     def __init__(self):
         self._tasks: set[asyncio.Task] = set()
 
-    def spawn(self, coroutine: Coroutine) -> asyncio.Task:
-        """Runs a coroutine as a task."""
+    def spawn(
+        self,
+        coroutine: Coroutine,
+        on_error: Callable[[], None] | None = None,
+    ) -> asyncio.Task:
+        """Runs a coroutine as a task.
+
+        Args:
+          coroutine: The work.
+          on_error: Called when it has ended with an error.
+        """
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._on_done)
+        task.add_done_callback(
+            functools.partial(self._on_done, on_error=on_error)
+        )
         return task
 
-    def _on_done(self, task: asyncio.Task) -> None:
+    def _on_done(
+        self, task: asyncio.Task, on_error: Callable[[], None] | None
+    ) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception():
-            logger.opt(exception=task.exception()).error("daemon: task failed")
+        if task.cancelled() or not task.exception():
+            return
+        logger.opt(exception=task.exception()).error("daemon: task failed")
+        if on_error is not None:
+            on_error()
