Probe a lost target until its accepted connection has stayed open

A process that ends may close the connection of a call before its listening socket. The probe was then accepted in between, the crash was taken for a broken answer, and no strike was given: in tests/failures/test_crashing_request.py one request took down 4 targets in place of 2. The codes tell the cause: the last attempt ended with TARGET_LOST, and the re-sends with QUARANTINED once later probes failed.

--- a/mimosahaven/targetclient.py
+++ b/mimosahaven/targetclient.py
@@ -21,6 +21,9 @@
 KEEPALIVE_S = 2.0
 # Longest time for a probe whether the target is up.
 PROBE_S = 0.5
+# Time for which an accepted connection must stay open.
+PROBE_SETTLE_S = 0.05
+PROBES_MAX = 3
 # Headers that hold for one connection only (RFC 9110, section 7.6.1), or
 # that the HTTP library sets by itself.
 HOP_HEADERS = frozenset(
@@ -125,16 +128,30 @@
         return bytes(body)
 
     async def accepts_connections(self) -> bool:
-        """Returns whether the target accepts a new connection."""
+        """Returns whether the target accepts a new connection.
+
+        A process that ends may close the connection of a call before its
+        listening socket. A connection that is accepted in between is reset
+        soon, and then the target is asked again.
+        """
         endpoint = self._settings.target.endpoint
-        try:
-            _, writer = await asyncio.wait_for(
-                asyncio.open_connection(endpoint.host, endpoint.port),
-                PROBE_S,
-            )
-        except (OSError, TimeoutError):
-            return False
-        writer.close()
+        for _ in range(PROBES_MAX):
+            try:
+                async with asyncio.timeout(PROBE_S):
+                    reader, writer = await asyncio.open_connection(
+                        endpoint.host, endpoint.port
+                    )
+            except (OSError, TimeoutError):
+                return False
+            try:
+                async with asyncio.timeout(PROBE_SETTLE_S):
+                    await reader.read(1)
+            except TimeoutError:
+                return True
+            except OSError:
+                pass
+            finally:
+                writer.close()
         return True
 
     def _answer(self, response: aiohttp.ClientResponse, body: bytes) -> Answer:
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -1,6 +1,7 @@
 """Tests of mimosahaven.targetclient."""
 
 import asyncio
+import socket
 
 import testtools
 from testtools import matchers
@@ -15,6 +16,8 @@
 from mimosahaven import targetclient
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+# Less than the time for which a probe watches its connection.
+CLOSE_AFTER_S = targetclient.PROBE_SETTLE_S / 10
 
 
 def _settings(port: int) -> settings.Settings:
@@ -92,3 +95,24 @@
         await client.stop()
         server.close()
         return received, [answer.code for answer in answers]
+
+
+class ProbeTest(testtools.TestCase):
+    """Guards against a crash that is taken for a broken answer."""
+
+    def test_listening_target_is_up(self):
+        self.assertTrue(asyncio.run(self._probe(closes=False)))
+
+    def test_target_that_closes_its_socket_a_little_later_is_down(self):
+        self.assertFalse(asyncio.run(self._probe(closes=True)))
+
+    async def _probe(self, closes: bool) -> bool:
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            client = targetclient.TargetClient(
+                _settings(listening.getsockname()[1])
+            )
+            if closes:
+                asyncio.get_running_loop().call_later(
+                    CLOSE_AFTER_S, listening.close
+                )
+            return await client.accepts_connections()
