--- a/mimosahaven/testing/runner.py
+++ b/mimosahaven/testing/runner.py
@@ -77,12 +77,9 @@
         self.directory = directory
         self._processes: dict[str, processes.Process] = {}
         self.forwarders = {
-            name: forwarder.Forwarder(
-                self.node(name).host,
-                self.node(name).host,
-                self.node(name).link_port,
-            )
-            for name in forwarded
+            node.name: forwarder.Forwarder(node.host, node.host, node.link_port)
+            for node in self.nodes
+            if node.name in forwarded
         }
 
     @property
@@ -278,12 +275,10 @@
 
     def runs(self) -> list[runs_lib.Run]:
         """Returns the runs of all targets, also of those that crashed."""
-        paths = [self._runs_path(node) for node in self.nodes]
         return [
             run
-            for path in paths
-            if path.exists()
-            for run in runs_lib.read_runs(path)
+            for node in self.nodes
+            for run in runs_lib.read_runs(self._runs_path(node))
         ]
 
     async def stop(self) -> None:
--- a/mimosahaven/testing/runs.py
+++ b/mimosahaven/testing/runs.py
@@ -69,8 +69,13 @@
 
 
 def read_runs(path: pathlib.Path) -> list[Run]:
-    """Reads the runs of every process that wrote to the file, in order."""
+    """Reads the runs of every process that wrote to the file, in order.
+
+    Without a file there are none.
+    """
     runs: list[Run] = []
+    if not path.exists():
+        return runs
     current: dict[int, int] = {}
     for line in path.read_bytes().splitlines():
         run = msgspec.json.decode(line, type=Run)
