--- a/mimosahaven/codes.py
+++ b/mimosahaven/codes.py
@@ -33,8 +33,6 @@
     QUARANTINED = 2011
     NO_TARGET = 2012
     LEDGER_FULL = 2013
-    KEY_UNSETTLED = 2014
-    ACTION_EXPIRED = 2015
     TARGET_REFUSED = 2016
     STARTING = 2017
     TARGET_DOWN = 2018
@@ -53,6 +51,8 @@
     OWNER_LOST = 4004
     ANSWER_TRUNCATED = 4005
     STILL_RUNNING = 4006
+    KEY_UNSETTLED = 4007
+    ACTION_EXPIRED = 4008
 
     SETTINGS_INVALID = 5001
     TABLE_INVALID = 5002
@@ -130,10 +130,6 @@
     Code.LEDGER_FULL: _refusal(
         503, "The ledger of non-idempotent calls is full."
     ),
-    Code.KEY_UNSETTLED: _refusal(
-        409, "The owner of this idempotency key is not settled."
-    ),
-    Code.ACTION_EXPIRED: _refusal(409, "The action id is too old."),
     Code.TARGET_REFUSED: _refusal(
         503, "The target refused; the table says that it did not run."
     ),
@@ -158,6 +154,13 @@
     ),
     Code.ANSWER_TRUNCATED: _unknown(502, "The answer broke off."),
     Code.STILL_RUNNING: _unknown(504, "The call still ran at the deadline."),
+    # An earlier copy of the request may have run elsewhere.
+    Code.KEY_UNSETTLED: _unknown(
+        409, "The owner of this idempotency key is not settled; not run now."
+    ),
+    Code.ACTION_EXPIRED: _unknown(
+        409, "The action id is too old; not run again."
+    ),
     Code.SETTINGS_INVALID: _refusal(500, "The settings are invalid."),
     Code.TABLE_INVALID: _refusal(500, "The table is invalid."),
     Code.TABLE_OLDER: _refusal(
--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -40,6 +40,9 @@
 from mimosahaven import tasks as tasks_lib
 
 TICK_MS = 20
+# Without work in flight nothing is due sooner than the window of the shed
+# threshold; 50 ticks a second cost an idle daemon over 1% of a core.
+IDLE_TICK_MS = 100
 # Time for the news of leaving to reach peers while new calls are refused.
 LEAVE_NOTICE_MS = 500
 
@@ -183,7 +186,12 @@
             ],
         )
         endpoint = self.settings.entry
-        self._server = httpserver.make_server(app, endpoint.host, endpoint.port)
+        self._server = httpserver.make_server(
+            app,
+            endpoint.host,
+            endpoint.port,
+            entry.make_protocol(self.dispatcher),
+        )
         self._server_task = self.tasks.spawn(self._server.serve())
         self.tasks.spawn(self._tick_forever())
 
@@ -196,7 +204,8 @@
         await self.start()
         collector.tune()
         await stop_wanted.wait()
-        await self.drain()
+        if self.settings.mechanisms.drain:
+            await self.drain()
         await self.stop()
 
     async def drain(self) -> None:
@@ -287,8 +296,9 @@
         self.quarantine.learn(strike, clock.monotonic_ms())
 
     def _publish_strikes(self, strikes: list[messages.Strike]) -> None:
+        now_ms = clock.monotonic_ms()
         for strike in strikes:
-            self.membership.add_strike(strike)
+            self.membership.add_strike(strike, now_ms)
             self._publish(strike)
 
     def _publish(self, message: messages.Message) -> None:
@@ -327,5 +337,6 @@
             self._borrow(now_ms)
             self.log.flush()
             self.metrics.tick(now_ms)
-            due_ms = clock.monotonic_ms() + TICK_MS
-            await asyncio.sleep(TICK_MS / 1000)
+            tick_ms = TICK_MS if self.in_flight_count else IDLE_TICK_MS
+            due_ms = clock.monotonic_ms() + tick_ms
+            await asyncio.sleep(tick_ms / 1000)
--- a/mimosahaven/messages.py
+++ b/mimosahaven/messages.py
@@ -65,6 +65,20 @@
     echo_ms: float
 
 
+class Strike(Message, tag=11):
+    """A call content that was in flight when a target crashed.
+
+    Attributes:
+      fingerprint: Hash of the content.
+      crash_id: Identity of the crash: target name, incarnation, number.
+      alone: True when it ran as the only suspect.
+    """
+
+    fingerprint: str
+    crash_id: str
+    alone: bool
+
+
 class Call(Message, tag=5):
     """One attempt of a call.
 
@@ -77,6 +91,9 @@
       remaining_ms: Time left until the deadline at sent_ms.
       budget: Part of the retry budget that is passed down.
       forwarded: True when an entry forwards a caller's request to its owner.
+      key: Idempotency key of a forwarded request.
+      strikes: Crashes that earlier attempts of the call have caused; they
+        would otherwise reach the guard after the attempt.
     """
 
     call_id: str
@@ -95,6 +112,7 @@
     budget: int
     forwarded: bool = False
     key: str = ""
+    strikes: list[Strike] = []
 
 
 class Result(Message, tag=6):
@@ -110,6 +128,7 @@
       run_state: Whether any attempt ran, when the code tells only of the
         last one; empty when the code tells it all.
       incarnation: Set by the sender of an attempt: where it went.
+      strikes: Set when the target crashed while it ran the call.
     """
 
     call_id: str
@@ -124,6 +143,7 @@
     threshold: int = 0
     run_state: str = ""
     incarnation: str = ""
+    strikes: list[Strike] = []
 
     def told_state(self) -> codes.RunState:
         """Returns whether the call ran, over all its attempts."""
@@ -175,20 +195,6 @@
     sequence: int
 
 
-class Strike(Message, tag=11):
-    """A call content that was in flight when a target crashed.
-
-    Attributes:
-      fingerprint: Hash of the content.
-      crash_id: Identity of the crash: target name, incarnation, number.
-      alone: True when it ran as the only suspect.
-    """
-
-    fingerprint: str
-    crash_id: str
-    alone: bool
-
-
 class Clear(Message, tag=12):
     """A suspect content that has since succeeded."""
 
--- a/mimosahaven/statuspage.py
+++ b/mimosahaven/statuspage.py
@@ -82,6 +82,10 @@
         messages_malformed=daemon.hub.malformed_count,
         bytes_sent=daemon.hub.traffic.sent_bytes,
         bytes_received=daemon.hub.traffic.received_bytes,
+        messages_sent=daemon.hub.traffic.sent_count,
+        messages_received=daemon.hub.traffic.received_count,
+        links=len(daemon.hub.links()),
+        routes=len(daemon.hub.routes()),
         log_lines_dropped=daemon.sink.dropped_count,
     )
 
@@ -94,7 +98,7 @@
         text_hash=store.hash,
         age_ms=now_ms - daemon.table_changed_ms,
         source=store.source,
-        fault_code=int(fault.code) if fault else 0,
+        fault_code=fault.fault.code if fault else 0,
         fault_text=fault.describe() if fault else "",
     )
 
--- a/mimosahaven/testing/runner.py
+++ b/mimosahaven/testing/runner.py
@@ -59,7 +59,7 @@
             is kept; by default a temporary one, which is removed.
           forwarded: Targets whose daemons are linked to through a forwarder.
         """
-        self.deployment = deployment
+        self.deployment = deployment.for_variant(variant)
         self.nodes = placement.place(deployment)
         self.session: aiohttp.ClientSession | None = None
         self._settings = placement.merged(
@@ -231,7 +231,11 @@
         Raises:
           RunnerError: The receiver did not take it.
         """
-        async with self.session.put(url, data=text.encode()) as response:
+        async with self.session.put(
+            url,
+            data=text.encode(),
+            headers={"Content-Type": "application/json"},
+        ) as response:
             if response.status >= 300:
                 raise processes.RunnerError(
                     f"PUT {url}: {response.status} {await response.text()}"
