Count the bytes and the time of the token surplus

Cause: the size of the token surplus in digests was not known. Excluded: running daemons; the sizes are counted and the rates calculated.

--- a/bench/recordsizes.py
+++ b/bench/recordsizes.py
@@ -16,6 +16,7 @@
 from mimosahaven import identity
 from mimosahaven import ledger
 from mimosahaven import messages
+from mimosahaven import rowlimits
 from mimosahaven import settings as settings_lib
 from mimosahaven import table
 from mimosahaven import watching
@@ -191,10 +192,21 @@
     talk = gossip.Gossip(settings, "1" * 16, view, store, random.Random(1))
     digest = talk.digest(0.0)
     result["digest_bytes"] = len(messages.encode(digest))
+    limiter = rowlimits.RowLimiter(settings, random.Random(1))
+    limiter.apply_list(view.members.values(), 0.0)
+    limiter.apply_rows(store.table.rows, 0.0)
+    now_ms = 2 * settings.gossip.share_settle_ms
+    limiter.surplus(now_ms)
+    now_ms += 5_000
+    talk.surplus = limiter.surplus(now_ms)
+    result["digest_bytes_with_surplus"] = len(messages.encode(talk.digest(0.0)))
+    talk.surplus = {}
     result["us"] = {
         "parse_list": us_per(lambda: fleet.parse_list(listing), 20),
         "parse_table": us_per(lambda: table.parse_table(rows), 3),
         "gossip_round": us_per(lambda: talk.round(0.0)),
+        "row_surplus": us_per(lambda: limiter.surplus(now_ms)),
+        "row_wanted": us_per(lambda: limiter.wanted(now_ms)),
         "is_watcher": us_per(lambda: watching.is_watcher(view, settings)),
         "take_digest": us_per(
             lambda: talk.on_message(digest, "service1-1", 0.0)
