--- a/mimosahaven/links.py
+++ b/mimosahaven/links.py
@@ -204,7 +204,9 @@
 
     def link_to(self, target: str, host: str, port: int) -> Link:
         """Returns the link to a peer and makes it when there is none."""
-        endpoint = f"tcp://{host}:{port}"
+        # Connections start at the own address, as the network's rules expect.
+        own_host = self.settings.link.host
+        endpoint = f"tcp://{own_host}:0;{host}:{port}"
         link = self._links.get(target)
         if link and link.endpoint == endpoint:
             return link
--- a/mimosahaven/testing/forwarder.py
+++ b/mimosahaven/testing/forwarder.py
@@ -22,6 +22,7 @@
 @dataclasses.dataclass(eq=False)
 class _Connection:
     writers: list[asyncio.StreamWriter]
+    source: str
     swallowed: Direction = Direction(0)
 
     def cut(self) -> None:
@@ -41,12 +42,15 @@
       port: Port on which it listens, once started.
       delay_ms: Time that every chunk waits in each direction.
       swallowed_bytes: Bytes that were read and discarded.
+      blocked_hosts: Addresses that a partition cuts off: their bytes are
+        discarded and their new connections get no answer.
     """
 
     def __init__(self, host: str, to_host: str, to_port: int):
         self.port = 0
         self.delay_ms = 0.0
         self.swallowed_bytes = 0
+        self.blocked_hosts: frozenset[str] = frozenset()
         self._host = host
         self._to = (to_host, to_port)
         self._server: asyncio.Server | None = None
@@ -92,7 +96,8 @@
         except OSError:
             writer.transport.abort()
             return
-        connection = _Connection([writer, there[1]])
+        source = writer.get_extra_info("peername")[0]
+        connection = _Connection([writer, there[1]], source)
         self._connections.add(connection)
         forth = self._pump(connection, Direction.FORTH, reader, there[1])
         back = self._pump(connection, Direction.BACK, there[0], writer)
@@ -112,7 +117,8 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 await asyncio.sleep(self.delay_ms / 1000)
-                if direction in connection.swallowed:
+                blocked = connection.source in self.blocked_hosts
+                if blocked or direction in connection.swallowed:
                     self.swallowed_bytes += len(data)
                 else:
                     writer.write(data)
--- a/mimosahaven/testing/runner.py
+++ b/mimosahaven/testing/runner.py
@@ -250,6 +250,21 @@
         """Returns a process by its name."""
         return self._processes[name]
 
+    def partition(self, *parts: set[str]) -> None:
+        """Cuts failure domains off from each other; no parts heal it.
+
+        Args:
+          parts: Failure domains that still reach each other. The daemons
+            must be behind forwarders and have no seeds.
+        """
+        for node in self.nodes:
+            own = next((p for p in parts if node.failure_domain in p), None)
+            self.forwarders[node.name].blocked_hosts = frozenset(
+                other.host
+                for other in self.nodes
+                if own is not None and other.failure_domain not in own
+            )
+
     def kill(self, name: str) -> None:
         """Ends a process at once (SIGKILL)."""
         self.process(name).send(signal.SIGKILL)
--- a/tests/failures/scenes.py
+++ b/tests/failures/scenes.py
@@ -188,6 +188,27 @@
         """Waits for a condition with a generous limit."""
         return await processes.wait_for(condition, CONDITION_LIMIT_S, what)
 
+    async def versions(self) -> dict[str, int]:
+        """Returns the table in force at each daemon that answers."""
+        found = {}
+        for node in self.fleet.nodes:
+            status = await processes.get_json(
+                self.fleet.session, f"{node.entry_url}/-/status"
+            )
+            if status is not None:
+                found[node.name] = status["table"].get("version", 0)
+        return found
+
+    async def until_table(self, version: int) -> None:
+        """Waits until a table is in force at all daemons."""
+
+        async def in_force():
+            versions = await self.versions()
+            everywhere = len(versions) == len(self.fleet.nodes)
+            return everywhere and set(versions.values()) == {version}
+
+        await self.until(in_force, f"table {version} in force")
+
     async def warm_up(self) -> None:
         """Opens the links between all daemons."""
         for node in self.fleet.nodes:
--- a/tests/failures/test_table_change.py
+++ b/tests/failures/test_table_change.py
@@ -4,7 +4,6 @@
 
 from testtools import matchers
 
-from mimosahaven.testing import processes
 from tests.failures import scenes
 
 PLATFORM = "platform"
@@ -19,25 +18,6 @@
     return GOSSIP | (scenes.off(*off) if off else {})
 
 
-async def _versions(scene) -> dict[str, int]:
-    """Returns the version in force at each daemon that answers."""
-    versions = {}
-    for node in scene.fleet.nodes:
-        status = await processes.get_json(
-            scene.fleet.session, f"{node.entry_url}/-/status"
-        )
-        if status is not None:
-            versions[node.name] = status["table"].get("version", 0)
-    return versions
-
-
-async def _until_all(scene, version: int) -> None:
-    async def all_have():
-        return set((await _versions(scene)).values()) == {version}
-
-    await scene.until(all_have, f"table {version} in force")
-
-
 async def _publish(scene, version: int) -> None:
     await scene.fleet.put_table(scene.fleet.deployment.table_text(version))
 
@@ -59,7 +39,7 @@
     async def _replace(self, scene) -> dict[str, int]:
         fleet = scene.fleet
         await _publish(scene, 2)
-        await _until_all(scene, 2)
+        await scene.until_table(2)
         await fleet.control(PLATFORM, outage="refuse")
         for name in REPLACED:
             process = fleet.process(f"{name}-daemon")
@@ -67,14 +47,14 @@
             process.launch()
 
         async def all_answer():
-            return len(await _versions(scene)) == len(fleet.nodes)
+            return len(await scene.versions()) == len(fleet.nodes)
 
         await scene.until(all_answer, "replaced daemons")
         if "gossip" in scene.off:
             await asyncio.sleep(SETTLE_S)
         else:
-            await _until_all(scene, 2)
-        return await _versions(scene)
+            await scene.until_table(2)
+        return await scene.versions()
 
     def test_a_restart_beside_a_stale_platform_brings_back_nothing(self):
         # Guards against an old table that comes back from a platform that
@@ -91,8 +71,8 @@
 
     async def _restart(self, scene) -> dict[str, int]:
         await _publish(scene, 2)
-        await _until_all(scene, 2)
+        await scene.until_table(2)
         await scene.fleet.control(PLATFORM, frozen_table_version=1)
         await scene.fleet.restart("reservations-2-daemon")
         await asyncio.sleep(SETTLE_S)
-        return await _versions(scene)
+        return await scene.versions()
