--- a/tests/failures/scenes.py
+++ b/tests/failures/scenes.py
@@ -215,9 +215,8 @@
             if run.path in ("/reserve", "/hold")
         )
         again = sum(count > 1 for count in runs.values())
-        found[invariants.AT_MOST_ONCE] = max(
-            found[invariants.AT_MOST_ONCE], again
-        )
+        name = invariants.AT_MOST_ONCE
+        found[name] = max(found[name], again)
         return +found
 
 
