Keep requests that meet the slow service out of the surge's figures

The surge now ends with a phase of one client timeout at the same load that does not count for the goal. Excluded: an error of the counts.

--- a/mimosahaven/testing/experiment.py
+++ b/mimosahaven/testing/experiment.py
@@ -18,6 +18,9 @@
 WARM_UP = "warm-up"
 CALM = "calm"
 SURGE = "surge"
+# The end of the surge, as long as one send of a client may take. Requests
+# that are due there meet the slow service and do not count for the surge.
+SURGE_END = "end of surge"
 SLOW = "slow service"
 RECOVERY = "recovery"
 
@@ -95,6 +98,7 @@
             phase(WARM_UP, durations.warm_up_s, CALM_SHARE, 1),
             phase(CALM, durations.calm_s, CALM_SHARE, 1),
             phase(SURGE, durations.surge_s, SURGE_SHARE, 1),
+            phase(SURGE_END, resend.timeout_ms / 1000, SURGE_SHARE, 1),
             phase(SLOW, durations.slow_s, SURGE_SHARE, SLOW_FACTOR),
             phase(RECOVERY, durations.recovery_s, CALM_SHARE, 1),
         ],
