--- a/mimosahaven/httpserver.py
+++ b/mimosahaven/httpserver.py
@@ -34,6 +34,8 @@
             lifespan="off",
             log_config=None,
             access_log=False,
+            # The entry does not use the address of the client.
+            proxy_headers=False,
             server_header=False,
             date_header=False,
         )
