Refuse nested calls of ended calls, and run again what an inquiry barred

A re-send whose inquiry barred the earlier run was answered "not run" although it could run at once. Excluded: a hold on leaving targets that a new link does not end; a replaced VM would stay out for up to 30 s, and the guard refuses in any case.

--- a/mimosahaven/codes.py
+++ b/mimosahaven/codes.py
@@ -36,6 +36,7 @@
     TARGET_REFUSED = 2016
     STARTING = 2017
     TARGET_DOWN = 2018
+    PARENT_ENDED = 2019
 
     MALFORMED = 3001
     UNKNOWN_CALLER = 3002
@@ -135,6 +136,9 @@
     ),
     Code.STARTING: _refusal(503, "The daemon is starting."),
     Code.TARGET_DOWN: _refusal(503, "The target accepts no connection."),
+    Code.PARENT_ENDED: _refusal(
+        409, "The call that this one was made for is not in flight here."
+    ),
     Code.MALFORMED: _refusal(400, "The request is malformed."),
     Code.UNKNOWN_CALLER: _refusal(403, "No row for this caller."),
     Code.UNKNOWN_KIND: _refusal(403, "No row for this kind of request."),
--- a/mimosahaven/dispatch.py
+++ b/mimosahaven/dispatch.py
@@ -135,6 +135,10 @@
         parent = self._registry.get(call.parent_id) if call.parent_id else None
         if parent is not None:
             return await self._serve_nested(call, parent)
+        if call.parent_id:
+            # Served as a fresh action it would run outside of all budgets.
+            self.count_refusal(Code.PARENT_ENDED)
+            return _served(attempts.refusal("", 0, Code.PARENT_ENDED))
         row = self.table.row_for(call.caller, call.kind)
         if row is None:
             code = Code.UNKNOWN_KIND
@@ -190,7 +194,13 @@
             decision = self._actions.decide_without_owner(
                 request, Code.OWNER_LOST, clock.monotonic_ms()
             )
-        return await self._follow(call, row, decision, deadline_ms)
+        served = await self._follow(call, row, decision, deadline_ms)
+        barred = served.result.code == Code.BARRED
+        if decision.step is Step.INQUIRE and barred:
+            # The unknown run is known not to have run, and never will.
+            decision = self._actions.decide(request, clock.monotonic_ms())
+            served = await self._follow(call, row, decision, deadline_ms)
+        return served
 
     async def _follow(
         self,
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,94 @@
+"""Tests of mimosahaven.router."""
+
+import asyncio
+import random
+
+import testtools
+from testtools import matchers
+
+from mimosahaven import budget
+from mimosahaven import calls
+from mimosahaven import clock
+from mimosahaven import codes
+from mimosahaven import decisions
+from mimosahaven import fleet
+from mimosahaven import messages
+from mimosahaven import metrics
+from mimosahaven import router
+from mimosahaven import routing
+from mimosahaven import settings as settings_lib
+from mimosahaven import shedding
+from mimosahaven import table
+from tests import samples
+
+Code = codes.Code
+LIMIT_MS = 60_000
+
+
+class FakeSender:
+    """Ends the attempts with the given codes, one after the other."""
+
+    def __init__(self, *answers: Code):
+        self.answers = list(answers)
+
+    async def send(self, member, call, deadline_ms, idempotent):
+        code = self.answers.pop(0)
+        return messages.Result(
+            call.call_id, call.attempt, int(code), unused_budget=call.budget
+        )
+
+
+def call(idempotent: bool, *answers: Code) -> messages.Result:
+    """Routes one call with two retries over three targets."""
+    settings = samples.settings(retry={"ratio": 1.0, "per_s_min": 1_000})
+    view = fleet.FleetView()
+    members = [
+        fleet.Member(f"presse-{n}", "presse", "z1", "dk", "127.0.0.1", 1, n)
+        for n in (1, 2, 3)
+    ]
+    view.apply_list(fleet.MemberList(1, members), 0.0)
+    made = router.Router(
+        settings,
+        view,
+        routing.Chooser(settings, random.Random(1)),
+        FakeSender(*answers),
+        shedding.ThresholdMap(settings),
+        decisions.DecisionLog(settings_lib.LogSettings(), lambda text: None),
+        metrics.Metrics(settings_lib.MetricsSettings(), "katalog-1"),
+    )
+    row = table.Row(
+        caller="shop",
+        kind="order",
+        weight=90,
+        idempotent=idempotent,
+        deadline_ms=LIMIT_MS,
+    )
+    context = calls.CallContext(
+        "a", "a", row, "shop", "order", 0, clock.monotonic_ms() + LIMIT_MS,
+        budget.ChainBudget(2),
+    )  # fmt: skip
+    request = router.Request("a/1", context, "presse", "POST", "/", [], b"")
+    return asyncio.run(made.call(request)).result
+
+
+class CallTest(testtools.TestCase):
+    def test_a_refused_retry_does_not_hide_an_earlier_run(self):
+        # Guards against "not run" for a call whose first attempt crashed
+        # the target.
+        result = call(True, Code.TARGET_LOST, Code.QUARANTINED)
+        self.assertThat(
+            result.told_state(), matchers.Is(codes.RunState.UNKNOWN)
+        )
+
+    def test_an_unknown_outcome_is_not_sent_again(self):
+        result = call(False, Code.TARGET_LOST, Code.OK)
+        self.assertThat(result.code, matchers.Equals(Code.TARGET_LOST))
+
+    def test_what_did_not_run_is_sent_again(self):
+        result = call(False, Code.DISPLACED, Code.BARRED, Code.OK)
+        self.assertThat(result.code, matchers.Equals(Code.OK))
+
+    def test_the_budget_bounds_the_retries(self):
+        result = call(False, *[Code.DISPLACED] * 4)
+        self.assertThat(result.code, matchers.Equals(Code.DISPLACED))
+        self.assertThat(result.attempt, matchers.Equals(2))
