--- a/mimosahaven/shedding.py
+++ b/mimosahaven/shedding.py
@@ -11,8 +11,8 @@
 # Smallest first step down: 1/64 of the priorities of one weight, so that a
 # threshold within the priorities of one weight is lowered gradually.
 STEP_MIN = 1024
-# A first step of 1/64 that doubles reaches 0 in 7 windows.
-STEP_DIVISOR = 64
+# A first step of 1/500 that doubles reaches 0 in 9 windows.
+STEP_DIVISOR = 500
 # The largest share of the admitted calls that one window removes.
 EXCESS_SHARE_MAX = 0.9
 # Bound on remembered (first service, kind) pairs; kinds come from callers.
