Split the dispatcher and the daemon, and feed all metrics

Incoming calls, the exchange of tokens and strikes, and the sampled gauges have modules of their own now. Excluded: sampling without an endpoint; nothing is done when metrics are off.

--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -16,7 +16,9 @@
 from mimosahaven import dispatch
 from mimosahaven import entry
 from mimosahaven import entrystats
+from mimosahaven import exchange
 from mimosahaven import fleet as fleet_lib
+from mimosahaven import gauges
 from mimosahaven import guard as guard_lib
 from mimosahaven import httpserver
 from mimosahaven import identity
@@ -24,7 +26,6 @@
 from mimosahaven import lifecycle as lifecycle_lib
 from mimosahaven import links as links_lib
 from mimosahaven import membership as membership_lib
-from mimosahaven import messages
 from mimosahaven import metrics as metrics_lib
 from mimosahaven import ownerlink
 from mimosahaven import peerlinks
@@ -63,7 +64,6 @@
         self._server: httpserver.Server | None = None
         self._server_task: asyncio.Task | None = None
         self._list_confirmed_ms = 0.0
-        self._surplus_due_ms = 0.0
         self._make_observers()
         self._make_links()
         self._make_guard()
@@ -94,10 +94,18 @@
             self.peers,
             self._use_table,
             self._use_list,
-            self._on_digest,
-            self._on_strike,
+            lambda digest: self.exchange.on_digest(digest),
+            lambda strike: self.exchange.on_strike(strike),
         )
         self.fleet = self.membership.view
+        self.row_limiter = rowlimits.RowLimiter(settings, self._rng)
+        self.exchange = exchange.Exchange(
+            settings,
+            self.membership,
+            self.peers,
+            self.quarantine,
+            self.row_limiter,
+        )
 
     def _make_guard(self) -> None:
         settings = self.settings
@@ -116,8 +124,8 @@
             self.log,
             self.metrics,
         )
-        self.guard.suspects.on_strikes = self._publish_strikes
-        self.guard.suspects.on_clear = self._publish
+        self.guard.suspects.on_strikes = self.exchange.publish_strikes
+        self.guard.suspects.on_clear = self.exchange.publish
 
     def _make_entry(self) -> None:
         settings = self.settings
@@ -135,7 +143,6 @@
         self.actions = actions_lib.ActionRegistry(
             settings, settings.target.name, self.incarnation
         )
-        self.row_limiter = rowlimits.RowLimiter(settings, self._rng)
         self.dispatcher = dispatch.Dispatcher(
             settings,
             self.registry,
@@ -256,7 +263,6 @@
         self.client.not_run_statuses = frozenset(
             service.not_run_statuses if service else ()
         )
-        self.metrics.gauge(Metric.TABLE_VERSION, table.version)
         self.log.decide(
             decisions.Part.TABLE,
             "",
@@ -290,35 +296,6 @@
         ]
         self.actions.keys.observe(self.fleet.version, live, confirmed_ms)
 
-    def _on_digest(self, digest: messages.Digest) -> None:
-        self.row_limiter.note_surplus(digest.report.target, digest.surplus)
-
-    def _on_strike(self, strike: messages.Strike) -> None:
-        self.quarantine.learn(strike, clock.monotonic_ms())
-
-    def _publish_strikes(self, strikes: list[messages.Strike]) -> None:
-        now_ms = clock.monotonic_ms()
-        for strike in strikes:
-            self.membership.add_strike(strike, now_ms)
-            self._publish(strike)
-
-    def _publish(self, message: messages.Message) -> None:
-        """Sends a message to the other daemons of the own service."""
-        for member in self.fleet.targets(self.settings.target.service):
-            if member.target != self.settings.target.name:
-                self.peers.send(member, message)
-
-    def _borrow(self, now_ms: float) -> None:
-        if now_ms >= self._surplus_due_ms:
-            # At each tick, 100 limited rows took 0.5% of a core and more.
-            self._surplus_due_ms = now_ms + self.settings.gossip.interval_ms / 2
-            self.membership.gossip.surplus = self.row_limiter.surplus(now_ms)
-        for want in self.row_limiter.wanted(now_ms):
-            member = self.fleet.members.get(want.peer)
-            if member is not None:
-                request = messages.TokenRequest(want.row_id, want.amount)
-                self.peers.send(member, request)
-
     def _check_ready(self, now_ms: float) -> None:
         if self.membership.fresh.is_set():
             self.lifecycle.pause.refreshed(now_ms)
@@ -338,8 +315,10 @@
             self._confirm_list()
             self.guard.tick(now_ms)
             self.hub.tick(now_ms)
-            self._borrow(now_ms)
+            self.exchange.tick(now_ms)
             self.log.flush()
+            if self.metrics.due(now_ms):
+                gauges.sample(self, now_ms)
             self.metrics.tick(now_ms)
             tick_ms = TICK_MS if self.in_flight_count else IDLE_TICK_MS
             due_ms = clock.monotonic_ms() + tick_ms
--- a/mimosahaven/dispatch.py
+++ b/mimosahaven/dispatch.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 from collections.abc import Callable
 
 from mimosahaven import actions as actions_lib
@@ -12,6 +11,7 @@
 from mimosahaven import codes
 from mimosahaven import entrystats
 from mimosahaven import identity
+from mimosahaven import incoming
 from mimosahaven import lifecycle as lifecycle_lib
 from mimosahaven import messages
 from mimosahaven import ownerlink
@@ -26,48 +26,10 @@
 Step = actions_lib.Step
 
 
-@dataclasses.dataclass
-class IncomingCall:
-    """A request as it arrived at an entry.
-
-    Attributes:
-      parent_id: Call of the local target that this call is made for, empty
-        for a request of a caller.
-      remaining_ms: Time left as the caller stated it, or None.
-      forwarded: True when another entry took the request for this owner.
-    """
-
-    service: str
-    method: str
-    path: str
-    headers: list[tuple[str, str]]
-    body: bytes
-    caller: str = ""
-    kind: str = ""
-    action_id: str = ""
-    key: str = ""
-    parent_id: str = ""
-    remaining_ms: float | None = None
-    forwarded: bool = False
-
-
-@dataclasses.dataclass
-class ServedCall:
-    """What the entry answers.
-
-    Attributes:
-      run_state: Whether any run of the action ran; it may say more than the
-        code of the last result.
-    """
-
-    result: messages.Result
-    run_state: RunState
-    action_id: str = ""
-    next_action_id: str = ""
-
-
-def _served(result: messages.Result, action_id: str = "") -> ServedCall:
-    return ServedCall(result, result.told_state(), action_id)
+def _served(
+    result: messages.Result, action_id: str = ""
+) -> incoming.ServedCall:
+    return incoming.ServedCall(result, result.told_state(), action_id)
 
 
 class Dispatcher:
@@ -130,7 +92,7 @@
         """Counts a refusal of a request whose row is not known."""
         self._stats.count_refusal(code)
 
-    async def serve(self, call: IncomingCall) -> ServedCall:
+    async def serve(self, call: incoming.IncomingCall) -> incoming.ServedCall:
         """Serves one request of a caller or of the local target."""
         parent = self._registry.get(call.parent_id) if call.parent_id else None
         if parent is not None:
@@ -153,16 +115,16 @@
         return served
 
     async def _serve_nested(
-        self, call: IncomingCall, parent: calls.CallContext
-    ) -> ServedCall:
+        self, call: incoming.IncomingCall, parent: calls.CallContext
+    ) -> incoming.ServedCall:
         routed = await self._router.call(
             _request(call, parent.next_child_id(), parent)
         )
         return _served(routed.result)
 
     async def _serve_action(
-        self, call: IncomingCall, row: table_lib.Row
-    ) -> ServedCall:
+        self, call: incoming.IncomingCall, row: table_lib.Row
+    ) -> incoming.ServedCall:
         now_ms = clock.monotonic_ms()
         # A ledger forgets a call when no copy of it can be in time any more.
         remaining_ms = min(
@@ -204,11 +166,11 @@
 
     async def _follow(
         self,
-        call: IncomingCall,
+        call: incoming.IncomingCall,
         row: table_lib.Row,
         decision: actions_lib.Decision,
         deadline_ms: float,
-    ) -> ServedCall:
+    ) -> incoming.ServedCall:
         action_id = str(decision.action) if decision.action else ""
         self._stats.note(decision, call)
         match decision.step:
@@ -217,7 +179,7 @@
                     attempts.refusal("", 0, decision.code), action_id
                 )
             case Step.ANSWER:
-                return ServedCall(
+                return incoming.ServedCall(
                     decision.result, decision.run_state, action_id
                 )
             case Step.WAIT:
@@ -232,27 +194,10 @@
                 )
 
     async def _forward(
-        self, call: IncomingCall, owner: str, deadline_ms: float
-    ) -> ServedCall | None:
+        self, call: incoming.IncomingCall, owner: str, deadline_ms: float
+    ) -> incoming.ServedCall | None:
         """Lets the owner serve a request; None when it does not."""
-        forwarded = messages.Call(
-            call_id="",
-            attempt=0,
-            action_id=call.action_id,
-            caller=call.caller,
-            kind=call.kind,
-            service=call.service,
-            method=call.method,
-            path=call.path,
-            headers=call.headers,
-            body=call.body,
-            incarnation="",
-            sent_ms=0.0,
-            remaining_ms=0.0,
-            budget=0,
-            forwarded=True,
-            key=call.key,
-        )
+        forwarded = incoming.to_message(call)
         result = await self._owners.forward(forwarded, owner, deadline_ms)
         if result is None:
             return None
@@ -260,7 +205,7 @@
 
     async def _wait(
         self, decision: actions_lib.Decision, deadline_ms: float
-    ) -> ServedCall:
+    ) -> incoming.ServedCall:
         future = self._running[decision.action]
         wait_ms = max(0.0, deadline_ms - clock.monotonic_ms())
         try:
@@ -273,7 +218,9 @@
                 str(decision.action),
             )
 
-    async def _settle(self, decision: actions_lib.Decision, work) -> ServedCall:
+    async def _settle(
+        self, decision: actions_lib.Decision, work
+    ) -> incoming.ServedCall:
         """Does the work of an action and tells all who wait for it."""
         future = asyncio.get_running_loop().create_future()
         self._running[decision.action] = future
@@ -285,7 +232,9 @@
             state = self._actions.finish(
                 decision, routed.result, clock.monotonic_ms(), routed.place
             )
-            served = ServedCall(routed.result, state, str(decision.action))
+            served = incoming.ServedCall(
+                routed.result, state, str(decision.action)
+            )
             del self._running[decision.action]
             future.set_result(served)
         return served
@@ -300,7 +249,7 @@
 
     async def _run(
         self,
-        call: IncomingCall,
+        call: incoming.IncomingCall,
         row: table_lib.Row,
         decision: actions_lib.Decision,
         deadline_ms: float,
@@ -333,7 +282,7 @@
         return routed
 
     def _refuse_run(
-        self, call: IncomingCall, context: calls.CallContext
+        self, call: incoming.IncomingCall, context: calls.CallContext
     ) -> Code | None:
         """Returns why the entry refuses a call that it would route."""
         now_ms = clock.monotonic_ms()
@@ -348,7 +297,7 @@
 
 
 def _request(
-    call: IncomingCall, call_id: str, context: calls.CallContext
+    call: incoming.IncomingCall, call_id: str, context: calls.CallContext
 ) -> router_lib.Request:
     return router_lib.Request(
         call_id=call_id,
--- a/mimosahaven/entry.py
+++ b/mimosahaven/entry.py
@@ -6,6 +6,7 @@
 
 from mimosahaven import codes
 from mimosahaven import dispatch
+from mimosahaven import incoming
 from mimosahaven import targetclient
 
 Code = codes.Code
@@ -102,7 +103,7 @@
                 return
             self._answer(resp, await dispatcher.serve(call))
 
-    def _parse(self, req, body: bytes) -> dispatch.IncomingCall:
+    def _parse(self, req, body: bytes) -> incoming.IncomingCall:
         headers = req.headers
         raw_path = req.scope["raw_path"].decode("latin-1")
         service, _, rest = raw_path.lstrip("/").partition("/")
@@ -113,7 +114,7 @@
         deadline_ms = None if deadline is None else float(deadline)
         if deadline_ms is not None and not 0 <= deadline_ms < 1e9:
             raise ValueError(deadline)
-        return dispatch.IncomingCall(
+        return incoming.IncomingCall(
             service=service,
             method=req.method,
             path=path,
@@ -143,7 +144,7 @@
         resp.set_header(CODE_HEADER, str(int(code)))
         resp.set_header(RUN_HEADER, info.run_state.value)
 
-    def _answer(self, resp, served: dispatch.ServedCall) -> None:
+    def _answer(self, resp, served: incoming.ServedCall) -> None:
         result = served.result
         code = Code(result.code)
         if result.status == 0:
--- a/mimosahaven/inbox.py
+++ b/mimosahaven/inbox.py
@@ -9,6 +9,7 @@
 from mimosahaven import codes
 from mimosahaven import dispatch
 from mimosahaven import guard as guard_lib
+from mimosahaven import incoming
 from mimosahaven import lifecycle as lifecycle_lib
 from mimosahaven import links as links_lib
 from mimosahaven import membership as membership_lib
@@ -135,19 +136,7 @@
             return attempts_lib.not_run(call, refused)
         with self.dispatcher.in_flight():
             served = await self.dispatcher.serve(
-                dispatch.IncomingCall(
-                    service=call.service,
-                    method=call.method,
-                    path=call.path,
-                    headers=call.headers,
-                    body=call.body,
-                    caller=call.caller,
-                    kind=call.kind,
-                    action_id=call.action_id,
-                    key=call.key,
-                    remaining_ms=call.remaining_ms - waited_ms,
-                    forwarded=True,
-                )
+                incoming.from_message(call, call.remaining_ms - waited_ms)
             )
         return msgspec.structs.replace(
             served.result,
--- /dev/null
+++ b/mimosahaven/incoming.py
@@ -0,0 +1,93 @@
+"""Requests as they arrive at an entry, and what the entry answers."""
+
+import dataclasses
+
+from mimosahaven import codes
+from mimosahaven import messages
+
+
+@dataclasses.dataclass
+class IncomingCall:
+    """A request as it arrived at an entry.
+
+    Attributes:
+      parent_id: Call of the local target that this call is made for, empty
+        for a request of a caller.
+      remaining_ms: Time left as the caller stated it, or None.
+      forwarded: True when another entry took the request for this owner.
+    """
+
+    service: str
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    caller: str = ""
+    kind: str = ""
+    action_id: str = ""
+    key: str = ""
+    parent_id: str = ""
+    remaining_ms: float | None = None
+    forwarded: bool = False
+
+
+@dataclasses.dataclass
+class ServedCall:
+    """What the entry answers.
+
+    Attributes:
+      run_state: Whether any run of the action ran; it may say more than the
+        code of the last result.
+    """
+
+    result: messages.Result
+    run_state: codes.RunState
+    action_id: str = ""
+    next_action_id: str = ""
+
+
+def to_message(call: IncomingCall) -> messages.Call:
+    """Returns the message that forwards a request to its owner.
+
+    The sender fills in identity, incarnation and times.
+    """
+    return messages.Call(
+        call_id="",
+        attempt=0,
+        action_id=call.action_id,
+        caller=call.caller,
+        kind=call.kind,
+        service=call.service,
+        method=call.method,
+        path=call.path,
+        headers=call.headers,
+        body=call.body,
+        incarnation="",
+        sent_ms=0.0,
+        remaining_ms=0.0,
+        budget=0,
+        forwarded=True,
+        key=call.key,
+    )
+
+
+def from_message(call: messages.Call, remaining_ms: float) -> IncomingCall:
+    """Returns the request of a forwarded message.
+
+    Args:
+      call: The message.
+      remaining_ms: Time left until the deadline.
+    """
+    return IncomingCall(
+        service=call.service,
+        method=call.method,
+        path=call.path,
+        headers=call.headers,
+        body=call.body,
+        caller=call.caller,
+        kind=call.kind,
+        action_id=call.action_id,
+        key=call.key,
+        remaining_ms=remaining_ms,
+        forwarded=True,
+    )
--- a/mimosahaven/metrics.py
+++ b/mimosahaven/metrics.py
@@ -202,6 +202,7 @@
         self._counts: dict[str, int] = {}
         self._gauges: dict[str, float] = {}
         self._peaks: dict[str, float] = {}
+        self._totals: dict[str, int] = {}
         self._due_ms = 0.0
 
     def count(self, metric: Metric, amount: int = 1, suffix: str = "") -> None:
@@ -212,6 +213,12 @@
                 name = f"{name}.{suffix}"
             self._counts[name] = self._counts.get(name, 0) + amount
 
+    def total(self, metric: Metric, value: int) -> None:
+        """Raises a counter to the value of a count kept elsewhere."""
+        name = metric.value.name
+        self.count(metric, value - self._totals.get(name, 0))
+        self._totals[name] = value
+
     def gauge(self, metric: Metric, value: float) -> None:
         """Sets a gauge."""
         if self._client is not None:
@@ -223,13 +230,17 @@
             name = metric.value.name
             self._peaks[name] = max(value, self._peaks.get(name, value))
 
+    def due(self, now_ms: float) -> bool:
+        """Returns whether the next tick sends."""
+        return self._client is not None and now_ms >= self._due_ms
+
     def tick(self, now_ms: float) -> bool:
         """Sends what was added up when the interval is over.
 
         Returns:
           Whether it was sent.
         """
-        if self._client is None or now_ms < self._due_ms:
+        if not self.due(now_ms):
             return False
         self._due_ms = now_ms + self._interval_ms
         with self._client.pipeline() as batch:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -12,6 +12,7 @@
 from mimosahaven import calls
 from mimosahaven import codes
 from mimosahaven import dispatch
+from mimosahaven import incoming as incoming_lib
 from mimosahaven import lifecycle
 from mimosahaven import messages
 from mimosahaven import router
@@ -68,8 +69,8 @@
     return made
 
 
-def incoming(**fields) -> dispatch.IncomingCall:
-    return dispatch.IncomingCall(
+def incoming(**fields) -> incoming_lib.IncomingCall:
+    return incoming_lib.IncomingCall(
         "presse", "POST", "/print", [], b"", "shop", "order", **fields
     )
 
