--- a/mimosahaven/cli_load.py
+++ b/mimosahaven/cli_load.py
@@ -6,6 +6,7 @@
 
 import click
 
+from mimosahaven import cli_common
 from mimosahaven import load
 from mimosahaven import loadplan
 from mimosahaven import loadreport
@@ -19,6 +20,7 @@
 
 
 @click.command()
+@cli_common.version_option
 @click.option(
     "--plan",
     "plan_path",
@@ -47,7 +49,10 @@
     result: pathlib.Path | None,
     report: pathlib.Path | None,
 ) -> None:
-    """Runs the experiment of a plan and writes its result."""
+    """Runs the experiment of a plan and writes its result.
+
+    Example: mimosahaven-load --plan surge.json5 --seed 1 --report out
+    """
     try:
         plan = loadplan.load(plan_path)
         raw = plan.model_dump()
--- a/mimosahaven/cli_table.py
+++ b/mimosahaven/cli_table.py
@@ -8,6 +8,7 @@
 import rich.console
 import rich.table
 
+from mimosahaven import cli_common
 from mimosahaven import table as table_lib
 
 EXIT_DIFFERENT = 1
@@ -72,6 +73,7 @@
 
 
 @click.group()
+@cli_common.version_option
 def main() -> None:
     """Checks, shows and compares tables of callers and request kinds.
 
@@ -225,7 +227,7 @@
             ],
             ["deadline", f"{row.deadline_ms:g} ms"],
             ["retry budget", f"{row.retry_budget} over the whole chain"],
-            ["limit", f"{_limit(row)} per s"],
+            ["limit per s", _limit(row)],
         ],
     )
     _show(
