--- a/mimosahaven/loadresult.py
+++ b/mimosahaven/loadresult.py
@@ -112,7 +112,8 @@
         if success_share(window) < RECOVERED_SHARE * baseline_share:
             recovered_s = None
         elif recovered_s is None:
-            recovered_s = start_s - cause_end_s
+            # Steps of 0.1 s add up to 2.00000000000003 in place of 2.
+            recovered_s = round(start_s - cause_end_s, 6)
         start_s += STEP_S
     return recovered_s
 
--- a/mimosahaven/rowlimits.py
+++ b/mimosahaven/rowlimits.py
@@ -90,13 +90,13 @@
             self._settled = False
         else:
             domains = {m.failure_domain for m in members}
-            mates = [
+            domain_targets = [
                 m.target
                 for m in members
                 if m.failure_domain == own.failure_domain
             ]
-            self._share = 1.0 / len(domains) / len(mates)
-            self._peers = sorted(set(mates) - {self._target})
+            self._share = 1.0 / len(domains) / len(domain_targets)
+            self._peers = sorted(set(domain_targets) - {self._target})
             if self._listed_ms is None:
                 self._listed_ms = now_ms
         for peer in self._surplus.keys() - set(self._peers):
