Count the window of a key from its last run

Excluded: the same for action ids; an id expires with its own issue time. Conclusion: a key record stays for the window after the start of its last run; the new test fails on the previous code.

--- a/mimosahaven/actionrecords.py
+++ b/mimosahaven/actionrecords.py
@@ -39,6 +39,8 @@
       state: Run state of the last run, when it is not running.
       ran_before: Whether a run before the last one may have run.
       place: Where the last attempt of the last run went.
+      since_ms: Start of the window: issue of the action id, or start of the
+        last run for a key, which may be sent again for the whole window.
     """
 
     action: identity.ActionId
@@ -52,6 +54,10 @@
     state: RunState = RunState.UNKNOWN
     ran_before: bool = False
     place: Place | None = None
+    since_ms: float = dataclasses.field(init=False)
+
+    def __post_init__(self):
+        self.since_ms = self.action.issued_ms
 
     @property
     def may_have_run(self) -> bool:
@@ -90,8 +96,8 @@
 class ActionRecords:
     """The records, bounded in number and in bytes of answers.
 
-    A record stays for action_window_ms after its action id was issued, and
-    longer while the action runs. An idempotent action that has succeeded and
+    A record stays for action_window_ms after its since_ms, and longer while
+    the action runs. An idempotent action that has succeeded and
     whose identity the caller did not know needs no record any more.
     """
 
@@ -101,7 +107,7 @@
         self._records: dict[int, Record] = {}
         self._by_key: dict[str, Record] = {}
         self._idempotent_count = 0
-        self._due: list[tuple[int, int]] = []  # Issue time and sequence.
+        self._due: list[tuple[float, int]] = []  # since_ms and sequence.
         self._answers = ledger_lib.AnswerStore(
             settings.ledger.action_answer_bytes_max
         )
@@ -142,9 +148,11 @@
         self._idempotent_count += record.idempotent
         if record.key:
             self._by_key[record.key] = record
-        heapq.heappush(self._due, (action.issued_ms, action.sequence))
+        heapq.heappush(self._due, (record.since_ms, action.sequence))
 
-    def start_again(self, record: Record, idempotent: bool) -> None:
+    def start_again(
+        self, record: Record, idempotent: bool, now_ms: float
+    ) -> None:
         """Begins the next run of a settled action."""
         record.ran_before = record.may_have_run
         record.run += 1
@@ -152,6 +160,9 @@
         record.place = None
         self._idempotent_count += idempotent - record.idempotent
         record.idempotent = idempotent
+        if record.key:
+            record.since_ms = now_ms
+            heapq.heappush(self._due, (now_ms, record.action.sequence))
 
     def settle(
         self,
@@ -167,15 +178,18 @@
         needless = (
             record.idempotent and not record.known and result.code in SUCCESS
         )
-        if needless or self.is_expired(record.action, now_ms):
+        if needless or now_ms - record.since_ms > self._window_ms:
             self._drop(record)
 
     def sweep(self, now_ms: float) -> None:
         """Drops the records past the window; running ones stay."""
         while self._due and now_ms - self._due[0][0] > self._window_ms:
-            record = self._records.get(heapq.heappop(self._due)[1])
-            if record is not None and not record.running:
-                self._drop(record)
+            since_ms, sequence = heapq.heappop(self._due)
+            record = self._records.get(sequence)
+            # A record has one entry for each run that moved its window.
+            if record is not None and record.since_ms == since_ms:
+                if not record.running:
+                    self._drop(record)
 
     def _drop(self, record: Record) -> None:
         del self._records[record.action.sequence]
--- a/mimosahaven/actions.py
+++ b/mimosahaven/actions.py
@@ -274,7 +274,7 @@
             record.budget = self._budget(request, 0)
         elif not record.budget.take():
             return self._decision(record, Step.ANSWER, result=result)
-        self._records.start_again(record, request.idempotent)
+        self._records.start_again(record, request.idempotent, now_ms)
         return self._decision(record, Step.RUN, budget=record.budget)
 
     def _run_unrecorded(
--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -96,6 +96,13 @@
         support.run_machine(KeyMachine)
         self.assertIn("twice", support.failure_of(KeyMachine, settling=False))
 
+    def test_window_of_a_key_starts_with_its_last_run(self):
+        machine = KeyMachine()
+        for ms, ran in ((0, False), (90, True), (15, True)):
+            machine.wait(ms, 0)
+            for name in "abc":
+                machine.send(name, ran)
+
     def test_interrupted_ownership(self):
         registry, now_ms = make(), 500
         view = registry.keys
