Send heartbeats by a method of the link

Cause: the hub reached into the private channel of a link to send a ping. Excluded: Link.send, which counts as use and would keep idle links open. Conclusion: no change of behaviour.

--- a/mimosahaven/links.py
+++ b/mimosahaven/links.py
@@ -103,6 +103,10 @@
             ]
         )
 
+    def ping(self, now_ms: float) -> None:
+        """Sends a heartbeat, which does not count as use of the link."""
+        self._channel.send([messages.encode(messages.Ping(now_ms))])
+
     def close(self) -> None:
         """Closes the link; nothing is delivered afterwards."""
         self._socket.disable_monitor()
@@ -280,7 +284,7 @@
             if now_ms - link.last_ping_ms >= limits.heartbeat_ms:
                 link.last_ping_ms = now_ms
                 if link.up.is_set():
-                    link._channel.send([messages.encode(messages.Ping(now_ms))])
+                    link.ping(now_ms)
                 else:
                     link.hello(now_ms)
         self._forget_routes(now_ms)
