--- /dev/null
+++ b/tests/mesh/test_gate.py
@@ -0,0 +1,70 @@
+import testtools
+from testtools import matchers
+
+from mimosahaven import codes
+from mimosahaven.mesh import gate as gate_lib
+
+Code = codes.Code
+
+
+def ticket(priority, deadline_ms=1e9, now_ms=0.0):
+    return gate_lib.Ticket(priority, deadline_ms, now_ms)
+
+
+class GateTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.gate = gate_lib.Gate(4, 0.0)
+        self.limit = self.gate.limit
+
+    def fill(self):
+        for _ in range(self.limit):
+            self.gate.offer(ticket(5), 0.0)
+
+    def test_never_more_than_the_slots_run(self):
+        for _ in range(20):
+            self.gate.offer(ticket(5), 0.0)
+        self.assertThat(self.gate.running, matchers.LessThan(5))
+
+    def test_the_most_important_runs_next(self):
+        self.fill()
+        low, high = ticket(1), ticket(9)
+        self.gate.offer(low, 0.0)
+        self.gate.offer(high, 0.0)
+        self.assertEqual([high], self.gate.finish(50.0, 10.0).run)
+        self.assertEqual([low], self.gate.finish(50.0, 10.0).run)
+
+    def test_a_full_queue_gives_up_the_least_important(self):
+        self.fill()
+        low = ticket(1)
+        self.gate.offer(low, 0.0)
+        refused = []
+        while not refused:
+            refused = self.gate.offer(ticket(9), 0.0).refused
+        self.assertEqual([(low, Code.DISPLACED)], refused)
+
+    def test_what_cannot_end_in_time_is_refused_before_it_runs(self):
+        self.fill()
+        late = ticket(9, deadline_ms=40.0)
+        self.gate.offer(late, 0.0)
+        self.assertEqual(
+            [(late, Code.DEADLINE_BEFORE_RUN)], self.gate.tick(41.0).refused
+        )
+
+    def test_the_threshold_rises_in_overload_and_falls_after_it(self):
+        now_ms = 0.0
+        running = 0
+        for step in range(200):
+            now_ms = step * 10.0
+            verdicts = self.gate.offer(
+                ticket(step % 97 + 1, 1e9, now_ms), now_ms
+            )
+            running += len(verdicts.run)
+            if step % 4 == 0 and running:
+                running += len(self.gate.finish(40.0, now_ms).run) - 1
+        self.assertThat(self.gate.threshold, matchers.GreaterThan(0))
+        while running:
+            running += len(self.gate.finish(40.0, now_ms).run) - 1
+        for step in range(1, 100):
+            self.gate.tick(now_ms + step * 100.0)
+        self.assertEqual(0, self.gate.threshold)
--- /dev/null
+++ b/tests/mesh/test_placement.py
@@ -0,0 +1,59 @@
+import collections
+import random
+
+import testtools
+from testtools import matchers
+
+from mimosahaven.mesh import placement as placement_lib
+from tests.mesh import samples
+
+LOCAL = "10.0.0.9"
+
+
+class PlacementTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.placement = placement_lib.Placement("a", LOCAL, random.Random(1))
+        self.near = samples.target("i-1", "10.0.0.1")
+        self.far = samples.target("i-2", "10.0.0.2", failure_domain="b")
+        self.both = (self.near, self.far)
+
+    def counts(self, now_ms=0.0, tried=()):
+        chosen = [
+            self.placement.choose(self.both, tried, now_ms) for _ in range(100)
+        ]
+        return collections.Counter(t.target_id for t in chosen if t)
+
+    def test_a_full_target_gives_way_to_a_free_one_far_away(self):
+        self.placement.learn("10.0.0.1", samples.load(10, 10), 0.0)
+        self.placement.learn("10.0.0.2", samples.load(1), 0.0)
+        self.assertEqual({"i-2": 100}, self.counts())
+
+    def test_a_slow_target_gets_less(self):
+        self.placement.learn("10.0.0.1", samples.load(mean_ms=500.0), 0.0)
+        self.placement.learn("10.0.0.2", samples.load(mean_ms=50.0), 0.0)
+        self.assertEqual({"i-2": 100}, self.counts())
+
+    def test_a_target_that_fails_is_eased_out(self):
+        for target in self.both:
+            self.placement.learn(target.host, samples.load(), 0.0)
+        for _ in range(10):
+            self.placement.learn_result("10.0.0.1", True)
+        self.assertEqual({"i-2": 100}, self.counts())
+
+    def test_an_unreachable_vm_is_left_alone_until_it_answers(self):
+        self.placement.set_unreachable("10.0.0.1", 0.0)
+        self.assertEqual({"i-2": 100}, self.counts())
+        self.assertEqual(["10.0.0.1"], self.placement.unreachable_hosts())
+        self.placement.set_reachable("10.0.0.1")
+        self.assertThat(self.counts()["i-1"], matchers.GreaterThan(0))
+
+    def test_a_target_that_was_tried_is_not_chosen_again(self):
+        self.assertEqual({"i-2": 100}, self.counts(tried={"i-1"}))
+        self.assertEqual({}, self.counts(tried={"i-1", "i-2"}))
+
+    def test_own_requests_count_between_two_reports(self):
+        self.placement.learn("10.0.0.1", samples.load(0), 0.0)
+        self.placement.learn("10.0.0.2", samples.load(0), 0.0)
+        self.placement.state(self.near).outstanding = 20
+        self.assertEqual({"i-2": 100}, self.counts())
--- /dev/null
+++ b/tests/mesh/test_resends.py
@@ -0,0 +1,54 @@
+import testtools
+
+from mimosahaven.mesh import resends
+
+WINDOW_MS = 10_000.0
+
+
+class ResendBudgetTest(testtools.TestCase):
+    def budget(self, daemons=1, slack=10.0):
+        budget = resends.ResendBudget(0.2, slack, WINDOW_MS)
+        budget.daemon_count = daemons
+        return budget
+
+    def taken(self, budget, runs, now_ms):
+        count = 0
+        while budget.take(runs, now_ms):
+            count += 1
+        return count
+
+    def test_repeats_of_all_daemons_keep_the_bound_of_the_fleet(self):
+        daemons = 13
+        total = sum(
+            self.taken(self.budget(daemons, 47.0), {"presse": 1.0}, 0.0)
+            for _ in range(daemons)
+        )
+        self.assertTrue(total <= 47)
+
+    def test_repeats_grow_with_the_requests_seen(self):
+        budget = self.budget(slack=0.0)
+        for _ in range(1000):
+            budget.record_fresh("presse", 0.0)
+        taken = self.taken(budget, {"presse": 1.0}, 0.0)
+        self.assertEqual(int(1000 * 0.2 * resends.USED_SHARE), taken)
+
+    def test_a_repeat_pays_for_the_calls_it_makes_again(self):
+        budget = self.budget(slack=0.0)
+        for _ in range(1000):
+            budget.record_fresh("presse", 0.0)
+            budget.record_fresh("katalog", 0.0)
+        taken = self.taken(budget, {"katalog": 1.0, "presse": 4.0}, 0.0)
+        self.assertEqual(int(1000 * 0.2 * resends.USED_SHARE / 4), taken)
+
+    def test_any_window_keeps_the_bound(self):
+        budget = self.budget(slack=50.0)
+        times = []
+        for step in range(400):
+            now_ms = step * 100.0
+            while budget.take({"s": 1.0}, now_ms):
+                times.append(now_ms)
+        worst = max(
+            sum(start <= t < start + WINDOW_MS for t in times)
+            for start in times
+        )
+        self.assertTrue(worst <= 50 * resends.USED_SHARE, worst)
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,130 @@
+import json
+
+import testtools
+from mimosahaven_platform import decoding
+
+from mimosahaven.mesh import records
+
+CONFIG = {
+    "version": "0000000c",
+    "routes": {
+        "columns": [
+            "name",
+            "host",
+            "prefix",
+            "kind",
+            "timeout_s",
+            "slo_s",
+            "priority",
+            "splits",
+            "max_attempts",
+            "service",
+            "new_field",
+        ],
+        "rows": [
+            [
+                "r-1",
+                "a.example",
+                "/x/",
+                "non_idempotent",
+                1.2,
+                1.5,
+                0,
+                None,
+                2,
+                "s1",
+                7,
+            ],
+            [
+                "r-2",
+                "a.example",
+                "/y/",
+                "download",
+                1,
+                0.4,
+                2,
+                [
+                    {"service": "s1", "weight": 90},
+                    {"service": "s2", "weight": 10},
+                ],
+                1,
+                None,
+                None,
+            ],
+        ],
+    },
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1000,
+        "header_timeout_s": 3,
+        "idle_timeout_s": 15,
+    },
+}
+ENTRY = {
+    "service": "s1",
+    "address": "10.128.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 91,
+    "state": "ready",
+    "cold_left_s": 1.5,
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+
+def encode(value):
+    return json.dumps(value).encode()
+
+
+class DecodeTableTest(testtools.TestCase):
+    def test_rows_become_routes_in_ms(self):
+        table = decoding.decode_table(encode(CONFIG))
+        self.assertEqual(12, table.version)
+        once, download = table.routes
+        self.assertTrue(once.once)
+        self.assertEqual((1200.0, 1500.0), (once.timeout_ms, once.objective_ms))
+        self.assertEqual((records.Share("s1", 1.0),), once.shares)
+        self.assertFalse(download.once)
+        self.assertEqual(2, len(download.shares))
+        self.assertEqual(15_000.0, table.limits.idle_timeout_ms)
+
+    def test_what_cannot_be_used_is_an_error(self):
+        faulty = [b"", b"{}", b"\xff"]
+        for name, value in (("version", "zz"), ("routes", []), ("limits", {})):
+            faulty.append(encode(CONFIG | {name: value}))
+        rows = CONFIG["routes"]["rows"]
+        no_service = rows[0][:9] + [None, None]
+        unknown_kind = rows[0][:3] + ["sometimes"] + rows[0][4:]
+        for row in (no_service, unknown_kind):
+            routes = CONFIG["routes"] | {"rows": [row]}
+            faulty.append(encode(CONFIG | {"routes": routes}))
+        for data in faulty:
+            self.assertRaises(
+                decoding.DecodingError, decoding.decode_table, data
+            )
+
+
+class DecodeTargetTest(testtools.TestCase):
+    def test_an_entry_becomes_a_target(self):
+        target = decoding.decode_target("i-1", encode(ENTRY), 5)
+        self.assertEqual(("10.128.0.9", 8080), (target.host, target.port))
+        self.assertEqual(records.SERVING_STATE, target.state)
+        self.assertEqual(1500.0, target.cold_ms)
+        self.assertEqual((91, 5), (target.slots, target.revision))
+
+    def test_entries_of_other_writers_name_no_target(self):
+        changes = (
+            {"state": "resting"},
+            {"slots": "many"},
+            {"slots": 0},
+            {"address": "nowhere"},
+            {"address": "10.0.0.1:99999"},
+            {"service": None},
+            {"born": 1.5},
+        )
+        for change in changes:
+            data = encode(ENTRY | change)
+            self.assertIsNone(decoding.decode_target("i-1", data, 5), change)
+        for data in (b"", b"[]", b"\xff\xfe"):
+            self.assertIsNone(decoding.decode_target("i-1", data, 5))
