Test whole mesh daemons against broken targets

Cause: the paths of broken answers, leaving callers, late extra answers and stops had only been read, not run. Change: daemons in one process on loopback addresses of the run, with targets written byte by byte. A peer's address in the state of a connection was not always that of its VM; frames now name the sender's VM.

--- a/mimosahaven/mesh/callerserver.py
+++ b/mimosahaven/mesh/callerserver.py
@@ -176,6 +176,10 @@
             if now_ms - self.idle_since_ms > limits.idle_timeout_ms:
                 self._transport.close()
 
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._transport.abort()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is on it."""
         if not self.busy and self._transport is not None:
--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -202,14 +202,29 @@
         stopped = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopped.set)
+        await self.start()
+        collector.tune()
+        await stopped.wait()
+        await self.drain()
+        self.stop()
+
+    async def start(self) -> None:
+        """Opens all sockets and starts the timers."""
         await self._listen()
         self.log.event("started", f"{self.settings.service}")
         self.tasks.spawn(self.replica.follow_store())
         self.tasks.spawn(self.replica.ask_seeds())
         self.tasks.spawn(self._tick_forever())
-        collector.tune()
-        await stopped.wait()
-        await self._drain()
+
+    def stop(self) -> None:
+        """Closes all sockets and ends all work."""
+        for server in self._servers:
+            server.close()
+        self.tasks.cancel_all()
+        for connection in list(self._callers):
+            connection.abort()
+        self.peers.close()
+        self.runner.pool.close_idle()
         self.log.event("stopped", "")
         self.log.flush()
 
@@ -234,7 +249,8 @@
                 )
             )
 
-    async def _drain(self) -> None:
+    async def drain(self) -> None:
+        """Ends the work in flight, within the time before a kill."""
         self._term_ms = clock.monotonic_ms()
         self.log.event("stopping", f"{self._work_count()} in flight")
         end_ms = self._term_ms + self.settings.bounds.grace_s * 1000
@@ -250,8 +266,6 @@
                 if not self._work_count() and quiet:
                     break
             await asyncio.sleep(TICK_MS / 1000)
-        for server in self._servers:
-            server.close()
 
     def _work_count(self) -> int:
         return self.origin.in_flight_count + self.gate.running
--- a/mimosahaven/mesh/frames.py
+++ b/mimosahaven/mesh/frames.py
@@ -59,6 +59,7 @@
     """A request for the local target of the receiver.
 
     Attributes:
+      sender_host: VM of the sender, where its newer versions are to be had.
       leg_id: Identity of this send.
       attempt_id: Identity that the caller gave to the request.
       target_id: Target that is meant; another one must not run it.
@@ -75,6 +76,7 @@
       list_revision: Revision of the list of targets at the sender.
     """
 
+    sender_host: str
     leg_id: str
     attempt_id: str
     target_id: str
@@ -159,6 +161,7 @@
 class Ping(_Frame):
     """Asks for the versions; also sent while a run is in progress."""
 
+    sender_host: str
     table_version: int
     list_revision: int
 
--- a/mimosahaven/mesh/origin.py
+++ b/mimosahaven/mesh/origin.py
@@ -232,6 +232,7 @@
         self._legs += 1
         parent = trip.parent
         run = frames.Run(
+            self._settings.target.host,
             f"{trip.attempt_id}#{self._settings.vm}#{self._legs}",
             trip.attempt_id,
             target.target_id,
--- a/mimosahaven/mesh/peerlink.py
+++ b/mimosahaven/mesh/peerlink.py
@@ -140,6 +140,7 @@
     ):
         self._limits = settings.peers
         self._port = settings.listen.peers.port
+        self._own_host = settings.target.host
         self._on_load = on_load
         self._idle: dict[str, collections.deque[PeerConnection]] = {}
 
@@ -171,7 +172,9 @@
         connection = await self._open(host)
         if connection is None:
             return False
-        connection.send(frames.Ping(table_version, list_revision))
+        connection.send(
+            frames.Ping(self._own_host, table_version, list_revision)
+        )
         try:
             frame = await connection.receive(self._limits.accept_timeout_ms)
         except PeerLostError:
@@ -206,6 +209,11 @@
             ):
                 idle.popleft().close()
 
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for host in list(self._idle):
+            self.drop(host)
+
     def drop(self, host: str) -> None:
         """Closes the idle connections to a peer that was lost."""
         for connection in self._idle.pop(host, ()):
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -39,14 +39,12 @@
         self._splitter = frames.Splitter()
         self._task: asyncio.Task | None = None
         self._once = False
-        self._host = ""
         self._writable: asyncio.Future | None = None
         self._lost = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Takes in the transport."""
         self._transport = transport
-        self._host = transport.get_extra_info("peername")[0]
 
     def data_received(self, data: bytes) -> None:
         """Takes in frames."""
@@ -85,7 +83,9 @@
         match frame:
             case frames.Run():
                 node.on_peer_versions(
-                    self._host, frame.table_version, frame.list_revision
+                    frame.sender_host,
+                    frame.table_version,
+                    frame.list_revision,
                 )
                 self._once = frame.once
                 self._start(self._serve_run(frame))
@@ -94,7 +94,9 @@
                     self._task.cancel()
             case frames.Ping():
                 node.on_peer_versions(
-                    self._host, frame.table_version, frame.list_revision
+                    frame.sender_host,
+                    frame.table_version,
+                    frame.list_revision,
                 )
                 self._write(frames.Pong(node.load()))
             case frames.Inquire():
@@ -132,7 +134,13 @@
 
     def _ping(self) -> None:
         load = self._node.load()
-        self._write(frames.Ping(load.table_version, load.list_revision))
+        self._write(
+            frames.Ping(
+                self._node.settings.target.host,
+                load.table_version,
+                load.list_revision,
+            )
+        )
         self._ping_timer = asyncio.get_running_loop().call_later(
             self._node.settings.peers.ping_ms / 1000, self._ping
         )
--- a/mimosahaven/tasks.py
+++ b/mimosahaven/tasks.py
@@ -32,6 +32,11 @@
         )
         return task
 
+    def cancel_all(self) -> None:
+        """Cancels all tasks that run."""
+        for task in self._tasks:
+            task.cancel()
+
     def _on_done(
         self, task: asyncio.Task, on_error: Callable[[], None] | None
     ) -> None:
--- /dev/null
+++ b/tests/mesh/fleet.py
@@ -0,0 +1,148 @@
+"""Some mesh daemons in one process, with targets written by the test."""
+
+import asyncio
+import contextlib
+import itertools
+import os
+
+from mimosahaven.mesh import daemon as daemon_lib
+from mimosahaven.mesh import replica
+from mimosahaven.mesh import settings as settings_lib
+from tests.mesh import rawtarget
+from tests.mesh import samples
+
+# Below the kernel's ephemeral range; the addresses are the run's own.
+CALLERS_PORT, PEERS_PORT, READY_PORT, TARGET_PORT = 7621, 7622, 7623, 7624
+_NETWORKS = itertools.count(1)
+
+
+class FakeFeed:
+    """A store in memory."""
+
+    def __init__(self, table, targets):
+        self.table = table
+        self.targets = targets
+        self.down = False
+        self._pending = asyncio.Queue()
+
+    async def snapshot(self):
+        if self.down:
+            raise replica.FeedError("down")
+        return replica.Snapshot(1, self.table, list(self.targets))
+
+    async def changes(self, after, wait_ms):
+        if self.down:
+            raise replica.FeedError("down")
+        return await self._pending.get()
+
+    def publish(self, changes):
+        self._pending.put_nowait(changes)
+
+    async def close(self):
+        pass
+
+
+class Fleet:
+    """Daemons 0 to n-1; daemon i serves services[i] with handlers[i]."""
+
+    def __init__(self, services, handlers=None, routes=None):
+        self._network = f"127.{os.getpid() % 250 + 1}.{next(_NETWORKS)}"
+        self.hosts = [f"{self._network}.{i + 1}" for i in range(len(services))]
+        self.services = services
+        handlers = handlers or [None] * len(services)
+        self.raw = [rawtarget.RawTarget(handler) for handler in handlers]
+        table = samples.table(*(routes or [samples.route()]))
+        targets = [
+            samples.target(
+                f"i-{i}", host, service=services[i], port=TARGET_PORT
+            )
+            for i, host in enumerate(self.hosts)
+        ]
+        self.feeds = [FakeFeed(table, targets) for _ in services]
+        self.daemons = []
+
+    async def __aenter__(self):
+        for i, host in enumerate(self.hosts):
+            await self.raw[i].start(host, TARGET_PORT)
+            settings = settings_lib.MeshSettings.model_validate(
+                {
+                    "vm": f"vm-{i}",
+                    "failure_domain": "a",
+                    "service": self.services[i],
+                    "target": f"{host}:{TARGET_PORT}",
+                    "listen": {
+                        "callers": f"{host}:{CALLERS_PORT}",
+                        "peers": f"{host}:{PEERS_PORT}",
+                        "readiness": f"{host}:{READY_PORT}",
+                    },
+                    "store": {"endpoint": f"{host}:1"},
+                }
+            )
+            daemon = daemon_lib.MeshDaemon(settings, self.feeds[i])
+            await daemon.start()
+            self.daemons.append(daemon)
+        await until(lambda: all(daemon.ready for daemon in self.daemons))
+        return self
+
+    async def __aexit__(self, *exc):
+        for daemon in self.daemons:
+            daemon.stop()
+        for raw in self.raw:
+            raw.close()
+        await asyncio.sleep(0)
+
+    @contextlib.asynccontextmanager
+    async def caller(self, index=0):
+        reader, writer = await asyncio.open_connection(
+            self.hosts[index], CALLERS_PORT
+        )
+        try:
+            yield reader, writer
+        finally:
+            writer.close()
+
+    async def ask(self, index=0, **changes):
+        """Sends one request and returns status, head and body."""
+        async with self.caller(index) as (reader, writer):
+            writer.write(request(**changes))
+            return await read_answer(reader)
+
+
+def request(
+    attempt="r1",
+    path="/x/1",
+    method="GET",
+    body=b"",
+    deadline_ms=1000,
+    extra="",
+):
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
+        f"Mimosahaven-Attempt: {attempt}\r\n"
+        f"Mimosahaven-Deadline-Ms: {deadline_ms}\r\n{extra}"
+    )
+    if body:
+        head += f"Content-Length: {len(body)}\r\n"
+    return head.encode() + b"\r\n" + body
+
+
+async def read_answer(reader):
+    async with asyncio.timeout(10):
+        head = await rawtarget.read_head(reader)
+        status = int(head["line"].split(" ")[1])
+        if head.get("transfer-encoding") == "chunked":
+            body = b""
+            while size := int(await reader.readline(), 16):
+                body += await reader.readexactly(size)
+                await reader.readline()
+            await reader.readline()
+        else:
+            body = await reader.readexactly(int(head.get("content-length", 0)))
+    return status, head, body
+
+
+async def until(condition, limit_s=10.0):
+    """Waits for a condition, with a generous limit."""
+    async with asyncio.timeout(limit_s):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
--- /dev/null
+++ b/tests/mesh/rawtarget.py
@@ -0,0 +1,73 @@
+"""A target whose answers are written by the test, byte by byte."""
+
+import asyncio
+
+OK = (
+    b"HTTP/1.1 200 OK\r\nMimosahaven-Attempt: %b\r\n"
+    b"Mimosahaven-Seal: s1\r\nContent-Length: 2\r\n\r\nhi"
+)
+
+
+class RawTarget:
+    """Accepts connections and gives each request to a handler.
+
+    Args:
+      handler: Called with the request's head as a dict (with "path") and body,
+        the writer, and the number of the request; it writes the answer.
+    """
+
+    def __init__(self, handler=None):
+        self._handler = handler or answer_ok
+        self._server = None
+        self.requests = []
+        self.connection_count = 0
+        self.left_count = 0
+
+    async def start(self, host, port=0):
+        self._server = await asyncio.start_server(self._serve, host, port)
+        return self._server.sockets[0].getsockname()[1]
+
+    def close(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connection_count += 1
+        try:
+            while True:
+                head = await read_head(reader)
+                length = int(head.get("content-length", 0))
+                body = await reader.readexactly(length)
+                self.requests.append((head, body))
+                work = asyncio.ensure_future(
+                    self._handler(head, body, writer, len(self.requests))
+                )
+                gone = asyncio.ensure_future(reader.read(1))
+                await asyncio.wait(
+                    {work, gone}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not work.done():
+                    self.left_count += 1
+                    work.cancel()
+                    break
+                gone.cancel()
+                await asyncio.gather(gone, return_exceptions=True)
+                await work
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+async def read_head(reader):
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    head = {"line": lines[0], "path": lines[0].split(" ")[1]}
+    for line in lines[1:]:
+        name, colon, value = line.partition(": ")
+        if colon:
+            head[name.lower()] = value
+    return head
+
+
+async def answer_ok(head, body, writer, number):
+    writer.write(OK % head["mimosahaven-attempt"].encode())
+    await writer.drain()
--- /dev/null
+++ b/tests/mesh/test_daemon.py
@@ -0,0 +1,390 @@
+"""Requests through whole daemons, on loopback addresses of the run's own."""
+
+import asyncio
+
+import testtools
+from testtools import matchers
+
+from mimosahaven.mesh import records
+from mimosahaven.mesh import replica
+from tests.mesh import fleet as fleet_lib
+from tests.mesh import rawtarget
+from tests.mesh import samples
+
+ONCE = records.RepeatRule.ONCE
+
+
+def ok(attempt, body=b"hi", length=None):
+    length = len(body) if length is None else length
+    return (
+        b"HTTP/1.1 200 OK\r\nMimosahaven-Attempt: %b\r\n"
+        b"Mimosahaven-Seal: s1\r\nContent-Length: %d\r\n\r\n"
+        % (attempt, length)
+        + body
+    )
+
+
+def attempt_of(head):
+    return head["mimosahaven-attempt"].encode()
+
+
+def first_of_all(first):
+    """Returns a handler for several targets; it alters the first request."""
+    seen = []
+
+    async def handle(head, body, writer, number):
+        seen.append(number)
+        handler = first if len(seen) == 1 else rawtarget.answer_ok
+        await handler(head, body, writer, number)
+
+    return handle
+
+
+async def cut_answer(head, body, writer, number):
+    writer.write(ok(attempt_of(head), b"half", 100))
+    await writer.drain()
+    writer.transport.abort()
+
+
+async def reset(head, body, writer, number):
+    writer.transport.abort()
+
+
+async def never(head, body, writer, number):
+    await asyncio.sleep(60)
+
+
+class DaemonTest(testtools.TestCase):
+    def play(self, scene):
+        asyncio.run(asyncio.wait_for(scene(), 30))
+
+    def test_a_request_reaches_a_target_on_another_vm(self):
+        async def scene():
+            async with fleet_lib.Fleet(["ordre", "katalog"]) as fleet:
+                status, head, body = await fleet.ask(
+                    method="POST",
+                    body=b"xyz",
+                    extra="Mimosahaven-Caller: x\r\n",
+                )
+                self.assertEqual((200, b"hi"), (status, body))
+                self.assertEqual("s1", head["mimosahaven-seal"])
+                [(seen, sent)] = fleet.raw[1].requests
+                self.assertEqual(b"xyz", sent)
+                # The caller is the service of the VM, whatever was sent.
+                self.assertEqual("ordre", seen["mimosahaven-caller"])
+                self.assertEqual("i-1", seen["mimosahaven-target"])
+                self.assertThat(
+                    int(seen["mimosahaven-deadline-ms"]),
+                    matchers.LessThan(1001),
+                )
+
+        self.play(scene)
+
+    def test_without_a_configuration_nothing_is_unknown(self):
+        async def scene():
+            async with fleet_lib.Fleet(["katalog"]) as fleet:
+                fleet.daemons[0].replica.index = None
+                status, _, _ = await fleet.ask()
+                self.assertEqual(503, status)
+                status, _, _ = await fleet.ask(path="/nowhere/")
+                self.assertEqual(503, status)
+
+        self.play(scene)
+
+    def test_an_unknown_route_is_404(self):
+        async def scene():
+            async with fleet_lib.Fleet(["katalog"]) as fleet:
+                status, _, _ = await fleet.ask(path="/nowhere/")
+                self.assertEqual(404, status)
+
+        self.play(scene)
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        async def slow_first(head, body, writer, number):
+            if head["mimosahaven-attempt"] == "p0":
+                await asyncio.sleep(0.1)
+            writer.write(ok(attempt_of(head), attempt_of(head)))
+
+        async def scene():
+            async with (
+                fleet_lib.Fleet(["katalog"], [slow_first]) as fleet,
+                fleet.caller() as (reader, writer),
+            ):
+                writer.write(
+                    b"".join(fleet_lib.request(f"p{i}") for i in range(5))
+                )
+                bodies = [
+                    (await fleet_lib.read_answer(reader))[2] for _ in range(5)
+                ]
+                self.assertEqual([b"p0", b"p1", b"p2", b"p3", b"p4"], bodies)
+
+        self.play(scene)
+
+    def test_a_cut_answer_is_replaced_by_another_target(self):
+        async def scene():
+            handlers = [first_of_all(cut_answer)] * 2
+            async with fleet_lib.Fleet(["katalog"] * 2, handlers) as fleet:
+                status, _, body = await fleet.ask()
+                self.assertEqual((200, b"hi"), (status, body))
+
+        self.play(scene)
+
+    def test_a_request_that_may_run_once_is_not_sent_again(self):
+        async def scene():
+            routes = [samples.route(repeat_rule=ONCE)]
+            handlers = [first_of_all(reset)] * 2
+            async with fleet_lib.Fleet(
+                ["katalog"] * 2, handlers, routes
+            ) as fleet:
+                status, _, _ = await fleet.ask(method="POST", body=b"x")
+                self.assertEqual(502, status)
+                runs = sum(len(raw.requests) for raw in fleet.raw)
+                self.assertEqual(1, runs)
+
+        self.play(scene)
+
+    def test_a_late_extra_answer_goes_to_nobody(self):
+        async def extra_later(head, body, writer, number):
+            if number == 2:
+                # The second answer to the first request comes here.
+                writer.write(ok(b"r1", b"old"))
+            writer.write(ok(attempt_of(head), b"r%d" % number))
+
+        async def scene():
+            async with fleet_lib.Fleet(["katalog"], [extra_later]) as fleet:
+                for number in (1, 2, 3):
+                    status, _, body = await fleet.ask(attempt=f"r{number}")
+                    self.assertEqual((200, b"r%d" % number), (status, body))
+
+        self.play(scene)
+
+    def test_an_answer_without_a_length_ends_with_its_connection(self):
+        async def unframed(head, body, writer, number):
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nMimosahaven-Attempt: %b\r\n"
+                b"Mimosahaven-Seal: s1\r\n\r\nto the end" % attempt_of(head)
+            )
+            writer.close()
+
+        async def scene():
+            async with fleet_lib.Fleet(["katalog"], [unframed]) as fleet:
+                status, _, body = await fleet.ask()
+                self.assertEqual((200, b"to the end"), (status, body))
+
+        self.play(scene)
+
+    def test_a_success_without_a_seal_is_not_passed_on(self):
+        async def unsealed(head, body, writer, number):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+
+        async def scene():
+            async with fleet_lib.Fleet(["katalog"], [unsealed]) as fleet:
+                status, _, _ = await fleet.ask()
+                self.assertEqual(502, status)
+
+        self.play(scene)
+
+    def test_a_refusal_of_the_target_moves_on_even_if_it_runs_once(self):
+        async def full(head, body, writer, number):
+            writer.write(
+                b"HTTP/1.1 503 Full\r\nMimosahaven-Not-Run: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+
+        async def scene():
+            routes = [samples.route(repeat_rule=ONCE)]
+            handlers = [first_of_all(full)] * 2
+            async with fleet_lib.Fleet(
+                ["katalog"] * 2, handlers, routes
+            ) as fleet:
+                status, _, _ = await fleet.ask(method="POST", body=b"x")
+                self.assertEqual(200, status)
+
+        self.play(scene)
+
+    def test_a_caller_that_leaves_ends_the_work_at_the_target(self):
+        async def scene():
+            async with fleet_lib.Fleet(
+                ["ordre", "katalog"], [None, never]
+            ) as fleet:
+                async with fleet.caller() as (_, writer):
+                    writer.write(fleet_lib.request())
+                    await fleet_lib.until(lambda: fleet.raw[1].requests)
+                await fleet_lib.until(lambda: fleet.raw[1].left_count == 1, 2.0)
+
+        self.play(scene)
+
+    def test_the_route_s_timeout_ends_the_wait(self):
+        async def scene():
+            routes = [samples.route(timeout_ms=200.0)]
+            async with fleet_lib.Fleet(
+                ["ordre", "katalog"], [None, never], routes
+            ) as fleet:
+                status, _, _ = await fleet.ask(deadline_ms=5000)
+                self.assertEqual(504, status)
+
+        self.play(scene)
+
+    def test_a_long_answer_is_streamed_whole(self):
+        data = bytes(range(256)) * 8192
+
+        async def long(head, body, writer, number):
+            writer.write(ok(attempt_of(head), data))
+            await writer.drain()
+
+        async def scene():
+            async with fleet_lib.Fleet(
+                ["ordre", "katalog"], [None, long]
+            ) as fleet:
+                status, _, body = await fleet.ask()
+                self.assertEqual((200, True), (status, body == data))
+
+        self.play(scene)
+
+    def test_a_long_answer_that_breaks_off_does_not_look_whole(self):
+        async def long(head, body, writer, number):
+            writer.write(ok(attempt_of(head), b"x" * 200_000, 400_000))
+            await writer.drain()
+            writer.close()
+
+        async def scene():
+            async with fleet_lib.Fleet(
+                ["ordre", "katalog"], [None, long]
+            ) as fleet:
+                try:
+                    await fleet.ask()
+                except (asyncio.IncompleteReadError, OSError, ValueError):
+                    return
+                self.fail("the answer looks whole")
+
+        self.play(scene)
+
+    def test_connections_to_the_target_are_used_again(self):
+        async def scene():
+            async with fleet_lib.Fleet(["ordre", "katalog"]) as fleet:
+                for number in range(10):
+                    await fleet.ask(attempt=f"r{number}")
+                self.assertEqual(1, fleet.raw[1].connection_count)
+
+        self.play(scene)
+
+    def test_a_call_inherits_the_deadline_of_its_parent(self):
+        async def nested(head, body, writer, number):
+            reader, out = await asyncio.open_connection(
+                fleet_holder[0].hosts[0], fleet_lib.CALLERS_PORT
+            )
+            out.write(
+                fleet_lib.request(
+                    attempt=head["mimosahaven-attempt"] + ".c1", path="/y/"
+                )
+            )
+            status, _, _ = await fleet_lib.read_answer(reader)
+            out.close()
+            writer.write(ok(attempt_of(head), b"%d" % status))
+
+        fleet_holder = []
+
+        async def scene():
+            routes = [
+                samples.route(),
+                samples.route(
+                    "y",
+                    prefix="/y/",
+                    rank=0,
+                    shares=(records.Share("presse", 1.0),),
+                ),
+            ]
+            async with fleet_lib.Fleet(
+                ["katalog", "presse"], [nested, None], routes
+            ) as fleet:
+                fleet_holder.append(fleet)
+                status, _, body = await fleet.ask(deadline_ms=300)
+                self.assertEqual((200, b"200"), (status, body))
+                [(seen, _)] = fleet.raw[1].requests
+                self.assertThat(
+                    int(seen["mimosahaven-deadline-ms"]),
+                    matchers.LessThan(301),
+                )
+                uses = fleet.daemons[0].thresholds.services("katalog", "r")
+                self.assertEqual(["katalog", "presse"], uses)
+
+        self.play(scene)
+
+    def test_a_daemon_that_the_store_turns_away_learns_from_peers(self):
+        async def scene():
+            async with fleet_lib.Fleet(["ordre", "katalog"]) as fleet:
+                fleet.feeds[0].publish(
+                    replica.Changes(
+                        7, samples.table(samples.route(), version=9), [], []
+                    )
+                )
+                await fleet_lib.until(
+                    lambda: fleet.daemons[0].replica.table_version == 9
+                )
+                for number in range(3):
+                    await fleet.ask(attempt=f"r{number}")
+                await fleet_lib.until(
+                    lambda: fleet.daemons[1].replica.table_version == 9
+                )
+
+        self.play(scene)
+
+    def test_a_stop_serves_what_is_in_flight_and_closes_after_it(self):
+        async def slow(head, body, writer, number):
+            await asyncio.sleep(0.3)
+            writer.write(ok(attempt_of(head)))
+
+        async def scene():
+            async with fleet_lib.Fleet(["katalog"], [slow]) as fleet:
+                asking = asyncio.ensure_future(fleet.ask())
+                await fleet_lib.until(lambda: fleet.raw[0].requests)
+                draining = asyncio.ensure_future(fleet.daemons[0].drain())
+                await asyncio.sleep(0)
+                self.assertFalse(fleet.daemons[0].ready)
+                status, head, _ = await asking
+                self.assertEqual((200, "close"), (status, head["connection"]))
+                await draining
+
+        self.play(scene)
+
+
+class BadInputTest(testtools.TestCase):
+    def status_of(self, data):
+        result = []
+
+        async def scene():
+            async with (
+                fleet_lib.Fleet(["katalog"]) as fleet,
+                fleet.caller() as (reader, writer),
+            ):
+                writer.write(data)
+                result.append((await fleet_lib.read_answer(reader))[0])
+                result.append(len(fleet.raw[0].requests))
+
+        asyncio.run(asyncio.wait_for(scene(), 30))
+        return result
+
+    def test_what_cannot_be_read_never_reaches_a_target(self):
+        cases = (
+            (400, b"no http at all\r\n\r\n"),
+            (400, b"GET /x/ HTTP/1.1\r\nHost: a.example\r\n\r\n"),
+            (
+                400,
+                fleet_lib.request(
+                    extra="Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"
+                )
+                + b"0\r\n\r\n",
+            ),
+            (431, fleet_lib.request(extra="A: " + "x" * 20_000 + "\r\n")),
+            (400, fleet_lib.request(deadline_ms="soon")),
+        )
+        for status, data in cases:
+            self.assertEqual([status, 0], self.status_of(data))
+
+    def test_a_chunked_body_arrives_whole(self):
+        data = fleet_lib.request(
+            method="POST", extra="Transfer-Encoding: chunked\r\n"
+        )
+        self.assertEqual(
+            [200, 1], self.status_of(data + b"3\r\nabc\r\n0\r\n\r\n")
+        )
--- a/tests/mesh/test_frames.py
+++ b/tests/mesh/test_frames.py
@@ -8,6 +8,7 @@
 
 def run(body=b"", leg_id="a#1"):
     return frames.Run(
+        "10.0.0.1",
         leg_id,
         "a",
         "i-1",
@@ -32,7 +33,7 @@
         strategies.integers(1, 50),
     )
     def test_frames_survive_any_cut(self, bodies, step):
-        sent = [run(body) for body in bodies] + [frames.Ping(1, 2)]
+        sent = [run(body) for body in bodies] + [frames.Ping("10.0.0.1", 1, 2)]
         data = b"".join(map(frames.encode, sent))
         splitter = frames.Splitter()
         received = []
