Spread the waits of watches and scale them with the fleet

Excluded: a lost connection (the watch ended with 410 at its own time); peers (none of them knew either). Change: waits are drawn from 0.3 to 1.7 of a mean that keeps 8 calls a second over the fleet; peers pass the news on.

--- a/mimosahaven/mesh/replica.py
+++ b/mimosahaven/mesh/replica.py
@@ -129,11 +129,9 @@
                 if not self._complete:
                     self._use_snapshot(await self._feed.snapshot())
                 else:
-                    wait_ms = self._limits.watch_ms
-                    wait_ms *= self._rng.uniform(0.7, 1.0)
                     self._use_changes(
                         await self._feed.changes(
-                            self.directory.revision, wait_ms
+                            self.directory.revision, self.watch_wait_ms()
                         )
                     )
                 pause_ms = self._limits.retry_ms
@@ -147,6 +145,18 @@
                 )
                 pause_ms = min(pause_ms * 2, self._limits.retry_max_ms)
 
+    def watch_wait_ms(self) -> float:
+        """Returns how long the next watch waits.
+
+        Waits are spread widely: events end the watches of all daemons at the
+        same moment, and with equal waits they would also end together.
+        """
+        limits = self._limits
+        daemons = max(1, len(self.directory.hosts()))
+        mean_ms = daemons / limits.watches_per_s * 1000
+        mean_ms = min(limits.watch_max_ms, max(limits.watch_min_ms, mean_ms))
+        return mean_ms * self._rng.uniform(0.3, 1.7)
+
     async def ask_seeds(self) -> None:
         """Asks the seeds once, when the store has not answered at the start."""
         for seed in self._settings.seeds:
--- a/mimosahaven/mesh/settings.py
+++ b/mimosahaven/mesh/settings.py
@@ -105,14 +105,20 @@
 
     Attributes:
       endpoint: Its address.
-      watch_ms: Longest wait of one watch.
+      watches_per_s: Watches that end without news in a second, over all
+        daemons. The store may stay silent about changes; the first daemon
+        whose watch ends then tells its peers.
+      watch_min_ms: Shortest mean wait of a watch.
+      watch_max_ms: Longest mean wait of a watch.
       read_timeout_ms: Time for an answer beyond the wait.
       retry_ms: Pause after an error; it doubles up to retry_max_ms.
       retry_max_ms: Longest pause.
     """
 
     endpoint: Address
-    watch_ms: PositiveMs = 10_000
+    watches_per_s: Annotated[float, pydantic.Field(gt=0)] = 8.0
+    watch_min_ms: PositiveMs = 500
+    watch_max_ms: PositiveMs = 12_000
     read_timeout_ms: PositiveMs = 1_500
     retry_ms: PositiveMs = 150
     retry_max_ms: PositiveMs = 800
--- /dev/null
+++ b/tests/mesh/test_replica.py
@@ -0,0 +1,104 @@
+import asyncio
+import random
+
+import testtools
+
+from mimosahaven.mesh import frames
+from mimosahaven.mesh import replica as replica_lib
+from mimosahaven.mesh import settings as settings_lib
+from tests.mesh import samples
+
+
+class NoLog:
+    def event(self, event, detail="", code=0):
+        pass
+
+
+class NoPeers:
+    def __init__(self, state=None):
+        self.state = state
+        self.asked = []
+
+    async def fetch(self, host, port, request):
+        self.asked.append(host)
+        return self.state
+
+
+def make(peers=None, seed=1):
+    settings = settings_lib.MeshSettings.model_validate(
+        {
+            "vm": "vm",
+            "failure_domain": "a",
+            "service": "katalog",
+            "target": "10.0.0.1:80",
+            "listen": {
+                "callers": "10.0.0.1:1",
+                "peers": "10.0.0.1:2",
+                "readiness": "10.0.0.1:3",
+            },
+            "store": {"endpoint": "10.0.0.1:4"},
+        }
+    )
+    return replica_lib.Replica(
+        settings, None, peers or NoPeers(), NoLog(), random.Random(seed)
+    )
+
+
+def fill(replica, count):
+    targets = [
+        samples.target(f"i-{i}", f"10.0.{i // 200}.{i % 200}")
+        for i in range(count)
+    ]
+    replica.directory.replace(targets, 1, 0.0, False)
+
+
+class WatchWaitTest(testtools.TestCase):
+    """A store that is silent about a change, seen on a standard day."""
+
+    def test_some_daemon_asks_again_well_within_the_bound(self):
+        for count in (13, 90):
+            worst_ms = 0.0
+            for day in range(50):
+                waits = []
+                for daemon in range(count):
+                    replica = make(seed=day * 1000 + daemon)
+                    fill(replica, count)
+                    waits.append(replica.watch_wait_ms())
+                worst_ms = max(worst_ms, sorted(waits)[1])
+            # A change is in force within 2 s on the small sites (13 VMs) and
+            # 2.5 s on the large ones; half a second is left for the peers.
+            bound_ms = 1_500.0 if count == 13 else 5_000.0
+            self.assertTrue(worst_ms < bound_ms, (count, worst_ms))
+
+    def test_calls_of_the_fleet_do_not_grow_with_it(self):
+        rates = []
+        for count in (13, 90):
+            replica = make()
+            fill(replica, count)
+            waits = [replica.watch_wait_ms() for _ in range(500)]
+            rates.append(count * 1000 / (sum(waits) / len(waits)))
+        self.assertTrue(rates[1] < rates[0] * 1.1, rates)
+
+
+class PeerVersionsTest(testtools.TestCase):
+    def test_a_peer_that_knows_more_is_asked_after_a_while(self):
+        newer = samples.table(samples.route(), version=9)
+        peers = NoPeers(frames.State(newer, None, 1))
+        replica = make(peers)
+        replica._use_table(samples.table(samples.route(), version=1), "store")
+        replica.on_peer_versions("10.0.0.7", 9, 0, 0.0)
+
+        async def scene():
+            await replica.tick(replica_lib.PEER_WAIT_MS - 1)
+            self.assertEqual([], peers.asked)
+            await replica.tick(replica_lib.PEER_WAIT_MS)
+
+        asyncio.run(scene())
+        self.assertEqual(["10.0.0.7"], peers.asked)
+        self.assertEqual(9, replica.table_version)
+
+    def test_an_older_table_never_comes_back(self):
+        replica = make()
+        replica._use_table(samples.table(samples.route(), version=5), "store")
+        replica._use_table(samples.table(samples.route(), version=4), "peer")
+        self.assertEqual(5, replica.table_version)
