Queue by the age of the root, shed for the whole service, probe silent targets

Calls of requests let in early starved behind later ones of the same rank and ended at their deadline. A silent target (crash, dark) took runs that hung for a second. Excluded: lack of runs at the target (27 of 27 in nearly every second). Change: threshold of a service is the lowest of its targets' recent ones; order in the queue is rank, then age of the root; overload is a wait over 25 ms; a silent target is probed by one connection and reported as down; a service without a reachable target makes origins refuse.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -40,6 +40,8 @@
 # A daemon that is idle for this long after the time above may end.
 QUIET_MS = 300.0
 LISTEN_BACKLOG = 1024
+# Interval of the log lines on the state of the target.
+STATE_LOG_MS = 1_000.0
 
 
 class _Readiness:
@@ -91,7 +93,9 @@
         self.pause = pause_lib.PauseDetector(settings)
         self.gate = gate_lib.Gate(settings.slots_default, now_ms)
         self.in_flight = inflight_lib.InFlight()
-        self.runner = runner_lib.Runner(settings, self.gate, self.in_flight)
+        self.runner = runner_lib.Runner(
+            settings, self.gate, self.in_flight, self.tasks, now_ms
+        )
         self.placement = placement_lib.Placement(
             settings.failure_domain, settings.target.host, rng
         )
@@ -124,6 +128,7 @@
         self._term_ms: float | None = None
         self._active_ms = now_ms
         self._checked_ms = now_ms
+        self._state_logged_ms = now_ms
         self._probing = False
 
     @property
@@ -173,7 +178,7 @@
         return frames.Load(
             self.gate.running,
             self.gate.waiting,
-            self.gate.limit,
+            0 if self.runner.health.down else self.gate.limit,
             self.gate.mean_ms,
             self.gate.threshold,
             thresholds,
@@ -278,16 +283,27 @@
     def _on_load(self, host: str, load: frames.Load) -> None:
         now_ms = clock.monotonic_ms()
         self.placement.learn(host, load, now_ms)
-        target = self.replica.directory.at_address(
-            host, self.settings.target.port
-        )
-        if target is not None:
-            self.thresholds.learn(target.service, load.threshold, 0.0, now_ms)
+        self._learn_threshold(host, now_ms)
         self.thresholds.learn_all(load.thresholds, now_ms)
         self.replica.on_peer_versions(
             host, load.table_version, load.list_revision, now_ms
         )
 
+    def _learn_own_load(self, now_ms: float) -> None:
+        host = self.settings.target.host
+        self.placement.learn(host, self.load(), now_ms)
+        self._learn_threshold(host, now_ms)
+
+    def _learn_threshold(self, host: str, now_ms: float) -> None:
+        directory = self.replica.directory
+        target = directory.at_address(host, self.settings.target.port)
+        if target is None:
+            return
+        threshold = self.placement.threshold(
+            directory.serving(target.service), now_ms
+        )
+        self.thresholds.learn(target.service, threshold, 0.0, now_ms)
+
     def _on_fleet_change(self) -> None:
         directory = self.replica.directory
         hosts = directory.hosts()
@@ -313,6 +329,7 @@
             now_ms = clock.monotonic_ms()
             self._observe(now_ms)
             self.runner.tick(now_ms)
+            self._learn_own_load(now_ms)
             await self.replica.tick(now_ms)
             self._check_start()
             if now_ms - self._checked_ms >= 500:
@@ -322,9 +339,23 @@
                     connection.check(now_ms)
                 if not self._probing:
                     self.tasks.spawn(self._probe())
+                self._log_state(now_ms)
             self.log.flush()
             await asyncio.sleep(TICK_MS / 1000)
 
+    def _log_state(self, now_ms: float) -> None:
+        gate = self.gate
+        if now_ms - self._state_logged_ms < STATE_LOG_MS:
+            return
+        self._state_logged_ms = now_ms
+        self.log.event(
+            "state",
+            f"target {gate.running}/{gate.limit} runs, {gate.waiting} wait, "
+            f"mean {gate.mean_ms:.0f} ms, threshold {gate.threshold}, "
+            f"{self.origin.in_flight_count} requests here, "
+            f"{self.runner.pool.opened_count} connections opened",
+        )
+
     async def _probe(self) -> None:
         """Pings the peers that could not be reached."""
         self._probing = True
--- a/mimosahaven/mesh/frames.py
+++ b/mimosahaven/mesh/frames.py
@@ -33,7 +33,8 @@
     Attributes:
       running: Requests that the target processes.
       waiting: Requests that wait at its daemon.
-      limit: Requests that its daemon lets run at a time.
+      limit: Requests that its daemon lets run at a time; 0 while the target
+        does not answer.
       mean_ms: Mean time of a run.
       threshold: Priority below which the target's daemon wants no new
         requests; 0 refuses nothing.
@@ -66,6 +67,7 @@
       target_id: Target that is meant; another one must not run it.
       once: Whether it may run at most once.
       priority: Shedding priority of the root request; higher goes first.
+      root_age_ms: Time since the root request began.
       remaining_ms: Time that is left.
       repeat: Whether it, or the request it serves, was sent before.
       caller: Service at which the request began.
@@ -83,6 +85,7 @@
     target_id: str
     once: bool
     priority: int
+    root_age_ms: float
     remaining_ms: float
     repeat: bool
     caller: str
--- a/mimosahaven/mesh/gate.py
+++ b/mimosahaven/mesh/gate.py
@@ -2,13 +2,16 @@
 
 Answers the pattern "a deep service is full": calls wait here, most important
 first, and not inside the target, where their order is lost and where some
-targets never answer what they cannot queue.
+targets never answer what they cannot queue. Among equals, the call of the
+oldest root request goes first: most work has been done for it, and the place
+of a request among those of its rank only decides whether it is let in.
 """
 
 import dataclasses
 import math
 
 from mimosahaven import codes
+from mimosahaven import identity
 from mimosahaven import overload
 from mimosahaven import shedding
 from mimosahaven import waiting
@@ -19,14 +22,17 @@
 # twenty avoids this and costs as much capacity.
 FILL_SHARE = 0.95
 # Load is judged over this time; the times of a run vary too much for less.
-WINDOW_MS = 200.0
-# A target that has this much of its limit waiting is overloaded.
-WAITING_SHARE = 0.25
+WINDOW_MS = 150.0
+# A target at which calls wait longer than this is overloaded. A request makes
+# several calls one after another, and its objective is some hundred ms.
+WAIT_TARGET_MS = 25.0
 # Below this use of the limit, the target has room for more.
 FREE_SHARE = 0.9
 # Part of the excess that one window removes. What was let in before reaches
 # the target for some windows more, so that a full correction overshoots.
-CORRECTION_SHARE = 0.5
+CORRECTION_SHARE = 0.6
+# Older than any request; one unit of weight outranks all ages.
+ROOT_AGE_MAX_MS = 1e9
 # The queue holds this many times the limit; beyond it the lowest priority
 # leaves. Its wait stays below the deadlines of deep calls (0.7 s).
 QUEUE_FACTOR = 3.0
@@ -37,17 +43,23 @@
     """A run that wants to start.
 
     Attributes:
-      priority: Shedding priority; higher goes first.
+      shed_priority: Shedding priority of the root request.
       deadline_ms: Time at which the run must have ended.
-      arrived_ms: Time of arrival.
+      root_ms: When the root request began.
+      priority: Place in the queue; higher goes first.
       important: Unused by this gate: the priority alone decides.
     """
 
-    priority: int
+    shed_priority: int
     deadline_ms: float
-    arrived_ms: float
+    root_ms: float
+    priority: float = 0.0
     important: bool = False
 
+    def __post_init__(self):
+        weight = self.shed_priority // identity.WEIGHT_STEP
+        self.priority = weight * ROOT_AGE_MAX_MS - self.root_ms
+
 
 @dataclasses.dataclass
 class Verdicts:
@@ -100,7 +112,7 @@
         if ticket.deadline_ms - now_ms <= self._service.expected_ms:
             verdicts.refused.append((ticket, Code.DEADLINE_BEFORE_RUN))
             return verdicts
-        self._threshold.record(ticket.priority)
+        self._threshold.record(ticket.shed_priority)
         self._window.admitted += 1
         self._queue.add(ticket)
         self._settle(verdicts, now_ms, ticket)
@@ -179,11 +191,12 @@
             self._service.decay()
         waiting_mean = window.waiting_ms / elapsed_ms
         used = window.running_ms / elapsed_ms / self.limit
-        if waiting_mean > WAITING_SHARE * self.limit or window.queue_refusals:
-            standing = waiting_mean - WAITING_SHARE * self.limit
-            share = window.excess_share(standing) * CORRECTION_SHARE
-            self._threshold.raise_by(share, None)
-        elif used > FREE_SHARE or waiting_mean > 0.05 * self.limit:
+        # By Little's law, what waits on average is the rate times the wait.
+        allowed = WAIT_TARGET_MS * max(1, window.served) / elapsed_ms
+        if waiting_mean > allowed or window.queue_refusals:
+            share = window.excess_share(waiting_mean - allowed)
+            self._threshold.raise_by(share * CORRECTION_SHARE, None)
+        elif used > FREE_SHARE:
             self._threshold.hold()
         else:
             self._threshold.lower(max(0.0, 1.0 - used))
--- a/mimosahaven/mesh/inflight.py
+++ b/mimosahaven/mesh/inflight.py
@@ -14,6 +14,7 @@
     Attributes:
       attempt_id: Identity that its caller gave it.
       priority: Shedding priority of the root request.
+      root_ms: When the root request began, on the clock of this daemon.
       deadline_ms: Deadline on the clock of this daemon.
       repeat: Whether it, or the request it serves, was sent before.
       tree: Runs at each service that its calls have taken so far.
@@ -22,6 +23,7 @@
 
     attempt_id: str
     priority: int
+    root_ms: float
     deadline_ms: float
     repeat: bool
     tree: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/mimosahaven/mesh/origin.py
+++ b/mimosahaven/mesh/origin.py
@@ -27,6 +27,8 @@
 
 # Weight of rank 0; lower ranks count down from it.
 TOP_WEIGHT = 100
+# Threshold of a service without any target that can be reached.
+NOTHING_PRIORITY = (TOP_WEIGHT + 1) * identity.WEIGHT_STEP
 # The last word on a run comes from the target's daemon shortly after the
 # deadline; past this time the caller is answered without it.
 LAST_WORD_MS = 200.0
@@ -62,6 +64,7 @@
     service: str
     priority: int
     deadline_ms: float
+    root_ms: float
     parent: inflight_lib.Parent | None
 
 
@@ -167,16 +170,25 @@
             except ValueError:
                 return Code.MALFORMED
         parent = self._runner.in_flight.parent_of(attempt_id)
+        root_ms = request.read_ms
         if parent is None:
             priority = identity.priority(
                 max(0, TOP_WEIGHT - route.rank), attempt_id
             )
         else:
             priority = parent.priority
+            root_ms = parent.root_ms
             deadline_ms = min(deadline_ms, parent.deadline_ms)
         service = index.choose_service(route)
         return Trip(
-            request, attempt_id, route, service, priority, deadline_ms, parent
+            request,
+            attempt_id,
+            route,
+            service,
+            priority,
+            deadline_ms,
+            root_ms,
+            parent,
         )
 
     def _sheds(self, trip: Trip) -> bool:
@@ -201,6 +213,8 @@
                 self._replica.directory.serving(trip.service), tried, now_ms
             )
             if target is None:
+                if not tried:
+                    self._note_no_target(trip.service, now_ms)
                 break
             if arrived_count and not self._may_repeat(trip, now_ms):
                 break
@@ -220,6 +234,13 @@
                     break
         return self._gave_up(trip, code, unknown, len(tried))
 
+    def _note_no_target(self, service: str, now_ms: float) -> None:
+        """Makes the origins of requests that need a lost service refuse them.
+
+        Work that other services do for such a request is wasted.
+        """
+        self._thresholds.learn(service, NOTHING_PRIORITY, 0.0, now_ms)
+
     def _may_repeat(self, trip: Trip, now_ms: float) -> bool:
         runs = {trip.service: 1.0}
         for service in self._thresholds.services(trip.service, trip.route.name):
@@ -239,6 +260,7 @@
             trip.route.once,
             trip.priority,
             0.0,
+            0.0,
             is_repeat or (parent is not None and parent.repeat),
             self._settings.service,
             trip.request.method,
@@ -248,7 +270,7 @@
             self._replica.table_version,
             self._replica.directory.revision,
         )
-        send = outcomes.Send(run, trip.deadline_ms)
+        send = outcomes.Send(run, trip.deadline_ms, trip.root_ms)
         state = self._placement.state(target)
         state.outstanding += 1
         try:
--- a/mimosahaven/mesh/outcomes.py
+++ b/mimosahaven/mesh/outcomes.py
@@ -44,7 +44,9 @@
     Attributes:
       run: The message.
       deadline_ms: Deadline on the clock of this daemon.
+      root_ms: When the root request began, on the clock of this daemon.
     """
 
     run: frames.Run
     deadline_ms: float
+    root_ms: float
--- a/mimosahaven/mesh/peerlink.py
+++ b/mimosahaven/mesh/peerlink.py
@@ -150,7 +150,9 @@
         if connection is None:
             return outcomes.Refused(Code.LINK_LOST)
         try:
-            send.run.remaining_ms = send.deadline_ms - clock.monotonic_ms()
+            now_ms = clock.monotonic_ms()
+            send.run.remaining_ms = send.deadline_ms - now_ms
+            send.run.root_age_ms = now_ms - send.root_ms
             connection.send(send.run)
             outcome = await self._await_outcome(host, connection, send)
         except PeerLostError:
@@ -277,6 +279,7 @@
         limited = outcomes.Send(
             send.run,
             send.deadline_ms + max(0.0, INQUIRY_MIN_MS - left_ms),
+            send.root_ms,
         )
         try:
             outcome = await self._await_outcome(host, connection, limited)
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -113,7 +113,10 @@
             self._transport.write(frames.encode(frame))
 
     async def _serve_run(self, run: frames.Run) -> None:
-        send = outcomes.Send(run, clock.monotonic_ms() + run.remaining_ms)
+        now_ms = clock.monotonic_ms()
+        send = outcomes.Send(
+            run, now_ms + run.remaining_ms, now_ms - run.root_age_ms
+        )
         await self._serve(self._node.runner.run(send))
 
     async def _serve_inquiry(self, leg_id: str) -> None:
--- a/mimosahaven/mesh/placement.py
+++ b/mimosahaven/mesh/placement.py
@@ -17,6 +17,10 @@
 REMOTE_PENALTY_MS = 6.0
 # Reports above this age say little; the own outstanding requests remain.
 REPORT_KEEP_MS = 2_000.0
+# A target that was down is tried again after this time.
+DOWN_KEEP_MS = 500.0
+# Thresholds change within a few hundred ms.
+THRESHOLD_KEEP_MS = 1_000.0
 # Time of a run assumed for a target that has not reported one.
 DEFAULT_MEAN_MS = 60.0
 # Weight of one result in the failure share of a target.
@@ -52,6 +56,14 @@
     unreachable_since_ms: float | None = None
     avoid_until_ms: float = 0.0
 
+    def is_down(self, now_ms: float) -> bool:
+        """Whether its daemon has said lately that it does not answer."""
+        return (
+            self.load is not None
+            and self.load.limit == 0
+            and now_ms - self.load_ms < DOWN_KEEP_MS
+        )
+
 
 class Placement:
     """States of all targets, and the choice between them."""
@@ -89,6 +101,26 @@
             failed - state.failure_share
         )
 
+    def threshold(
+        self, candidates: Iterable[records.Target], now_ms: float
+    ) -> int:
+        """Returns the shed threshold of a service.
+
+        A service is overloaded when all of its targets are: as long as one
+        has room, work moves there. Without a recent report there is none.
+        """
+        lowest = None
+        for target in candidates:
+            state = self.state(target)
+            load = state.load
+            if load is None or state.unreachable_since_ms is not None:
+                continue
+            if load.limit == 0 or now_ms - state.load_ms > THRESHOLD_KEEP_MS:
+                continue
+            if lowest is None or load.threshold < lowest:
+                lowest = load.threshold
+        return lowest or 0
+
     def set_unreachable(self, host: str, now_ms: float) -> None:
         """Takes in that the VM of a target does not answer."""
         state = self.state_of_host(host)
@@ -134,6 +166,8 @@
                 continue
             if now_ms < state.avoid_until_ms:
                 continue
+            if state.is_down(now_ms):
+                continue
             score = self.score_ms(target, state, now_ms)
             score *= 1.0 + JITTER_SHARE * self._rng.random()
             if score < best_score:
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -7,12 +7,15 @@
 
 from mimosahaven import clock
 from mimosahaven import codes
+from mimosahaven import tasks as tasks_lib
 from mimosahaven.mesh import answers
+from mimosahaven.mesh import frames
 from mimosahaven.mesh import gate as gate_lib
 from mimosahaven.mesh import http1
 from mimosahaven.mesh import inflight as inflight_lib
 from mimosahaven.mesh import outcomes
 from mimosahaven.mesh import settings as settings_lib
+from mimosahaven.mesh import targethealth
 from mimosahaven.mesh import targetpool
 
 Code = codes.Code
@@ -22,8 +25,8 @@
 # Legs are remembered this long. No request lasts longer.
 LEG_MEMORY_MS = 60_000.0
 STATUS_MISDIRECTED = 421
-# Time after which a refusal of new connections by the target is tested again.
-DOWN_PAUSE_MS = 200.0
+# Interval of the connections that test whether the target is back.
+PROBE_PAUSE_S = 0.2
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,6 +44,8 @@
       settings: Settings of the daemon.
       gate: Queue in front of the target.
       in_flight: Where the calls of the target find their parents.
+      tasks: Keeps the probes of a target that does not answer.
+      now_ms: Present time.
     """
 
     def __init__(
@@ -48,6 +53,8 @@
         settings: settings_lib.MeshSettings,
         gate: gate_lib.Gate,
         in_flight: inflight_lib.InFlight,
+        tasks: tasks_lib.Tasks,
+        now_ms: float,
     ):
         self._settings = settings
         self._headers = settings.headers
@@ -69,10 +76,12 @@
         )
         self.in_flight = in_flight
         self._waiting: dict[gate_lib.Ticket, asyncio.Future] = {}
+        self._running: dict[targetpool.TargetConnection, frames.Run] = {}
         self._legs: collections.OrderedDict[str, _Leg] = (
             collections.OrderedDict()
         )
-        self._down_until_ms = 0.0
+        self._tasks = tasks
+        self.health = targethealth.TargetHealth(now_ms)
         self.refuse_code: Code | None = Code.STARTING
 
     async def run(self, send: outcomes.Send) -> outcomes.Outcome:
@@ -80,7 +89,7 @@
         now_ms = clock.monotonic_ms()
         if self.refuse_code is not None:
             return outcomes.Refused(self.refuse_code)
-        if now_ms < self._down_until_ms:
+        if self.health.down:
             return outcomes.Refused(Code.TARGET_DOWN)
         if not send.run.once:
             return await self._admit_and_run(send)
@@ -110,6 +119,8 @@
         """Expires what is old; to be called often."""
         self._apply(self.gate.tick(now_ms))
         self.pool.expire(now_ms)
+        if self.health.is_suspect(len(self.in_flight), now_ms):
+            self._begin_probe()
         legs = self._legs
         while legs:
             leg_id, leg = next(iter(legs.items()))
@@ -119,7 +130,9 @@
 
     async def _admit_and_run(self, send: outcomes.Send) -> outcomes.Outcome:
         now_ms = clock.monotonic_ms()
-        ticket = gate_lib.Ticket(send.run.priority, send.deadline_ms, now_ms)
+        ticket = gate_lib.Ticket(
+            send.run.priority, send.deadline_ms, send.root_ms
+        )
         decided = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = decided
         self._apply(self.gate.offer(ticket, now_ms))
@@ -158,19 +171,24 @@
         service_ms: float | None = None
         run = send.run
         parent = inflight_lib.Parent(
-            run.attempt_id, run.priority, send.deadline_ms, run.repeat
+            run.attempt_id,
+            run.priority,
+            send.root_ms,
+            send.deadline_ms,
+            run.repeat,
         )
         streaming = False
         connection = None
         try:
             connection = await self.pool.acquire(started_ms)
             if connection is None:
-                self._down_until_ms = clock.monotonic_ms() + DOWN_PAUSE_MS
+                self._begin_probe()
                 return outcomes.Refused(Code.TARGET_DOWN)
             now_ms = clock.monotonic_ms()
             if send.deadline_ms <= now_ms:
                 return outcomes.Refused(Code.DEADLINE_BEFORE_RUN)
             self.in_flight.add(parent)
+            self._running[connection] = run
             stream = connection.send(
                 self._request(send, now_ms),
                 run.attempt_id.encode("latin-1"),
@@ -183,6 +201,7 @@
             except TimeoutError:
                 service_ms = clock.monotonic_ms() - started_ms
                 return outcomes.Failed(Code.TIMEOUT)
+            self.health.heard(clock.monotonic_ms())
             outcome = self._judge(stream)
             if isinstance(outcome, outcomes.Answered):
                 service_ms = clock.monotonic_ms() - started_ms
@@ -208,12 +227,37 @@
     ) -> None:
         self.in_flight.remove(parent)
         if connection is not None:
+            self._running.pop(connection, None)
             if connection.busy:
                 connection.close()
             else:
                 self.pool.release(connection)
         self._finish(service_ms)
 
+    def _begin_probe(self) -> None:
+        if not self.health.probing:
+            self.health.probing = True
+            self._tasks.spawn(self._probe())
+
+    async def _probe(self) -> None:
+        """Opens connections until one succeeds; meanwhile nothing is sent."""
+        try:
+            while (connection := await self.pool.open()) is None:
+                if not self.health.down:
+                    self.health.down = True
+                    self._fail_repeatable()
+                await asyncio.sleep(PROBE_PAUSE_S)
+            self.pool.release(connection)
+        finally:
+            self.health.recovered(clock.monotonic_ms())
+
+    def _fail_repeatable(self) -> None:
+        """Ends the runs that may be sent to another target."""
+        self.pool.close_idle()
+        for connection, run in list(self._running.items()):
+            if not run.once:
+                connection.close()
+
     def _request(self, send: outcomes.Send, now_ms: float) -> bytes:
         run = send.run
         names = self._headers
--- a/mimosahaven/mesh/targetpool.py
+++ b/mimosahaven/mesh/targetpool.py
@@ -12,7 +12,8 @@
 
 Code = codes.Code
 
-CONNECT_TIMEOUT_S = 1.0
+# The target is on the same VM; only its own queue can delay it.
+CONNECT_TIMEOUT_S = 0.5
 # Kept connections are given up this long before the target closes them, so
 # that no request crosses the close.
 IDLE_MARGIN_MS = 1_000.0
@@ -238,9 +239,10 @@
             if connection.is_fresh(now_ms):
                 return connection
             connection.close()
-        return await self._open()
+        return await self.open()
 
-    async def _open(self) -> TargetConnection | None:
+    async def open(self) -> TargetConnection | None:
+        """Opens a connection; returns None when the target accepts none."""
         loop = asyncio.get_running_loop()
         self.opened_count += 1
         try:
--- a/tests/mesh/test_frames.py
+++ b/tests/mesh/test_frames.py
@@ -14,6 +14,7 @@
         "i-1",
         True,
         7,
+        20.0,
         100.0,
         False,
         "katalog",
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -2,13 +2,14 @@
 from testtools import matchers
 
 from mimosahaven import codes
+from mimosahaven import identity
 from mimosahaven.mesh import gate as gate_lib
 
 Code = codes.Code
 
 
-def ticket(priority, deadline_ms=1e9, now_ms=0.0):
-    return gate_lib.Ticket(priority, deadline_ms, now_ms)
+def ticket(weight, deadline_ms=1e9, now_ms=0.0):
+    return gate_lib.Ticket(weight * identity.WEIGHT_STEP, deadline_ms, now_ms)
 
 
 class GateTest(testtools.TestCase):
@@ -34,6 +35,13 @@
         self.assertEqual([high], self.gate.finish(50.0, 10.0).run)
         self.assertEqual([low], self.gate.finish(50.0, 10.0).run)
 
+    def test_the_oldest_root_runs_next_among_equals(self):
+        self.fill()
+        young, old = ticket(5, now_ms=9.0), ticket(5, now_ms=1.0)
+        self.gate.offer(young, 10.0)
+        self.gate.offer(old, 10.0)
+        self.assertEqual([old], self.gate.finish(50.0, 20.0).run)
+
     def test_a_full_queue_gives_up_the_least_important(self):
         self.fill()
         low = ticket(1)
--- a/tests/mesh/test_placement.py
+++ b/tests/mesh/test_placement.py
@@ -57,3 +57,38 @@
         self.placement.learn("10.0.0.2", samples.load(0), 0.0)
         self.placement.state(self.near).outstanding = 20
         self.assertEqual({"i-2": 100}, self.counts())
+
+    def test_a_target_that_does_not_answer_gets_nothing(self):
+        self.placement.learn("10.0.0.1", samples.load(limit=0), 0.0)
+        self.assertEqual({"i-2": 100}, self.counts())
+        later_ms = placement_lib.DOWN_KEEP_MS
+        self.assertThat(self.counts(later_ms)["i-1"], matchers.GreaterThan(0))
+
+
+class ThresholdTest(testtools.TestCase):
+    """One target of a service is full, or down, while others have room."""
+
+    def setUp(self):
+        super().setUp()
+        self.placement = placement_lib.Placement("a", LOCAL, random.Random(1))
+        self.targets = [
+            samples.target(f"i-{i}", f"10.0.0.{i}") for i in range(3)
+        ]
+
+    def threshold(self, loads, now_ms=0.0):
+        for target, load in zip(self.targets, loads, strict=True):
+            self.placement.learn(target.host, load, 0.0)
+        return self.placement.threshold(self.targets, now_ms)
+
+    def test_nothing_is_shed_while_one_target_has_room(self):
+        loads = [samples.load(threshold=t) for t in (70, 50, 0)]
+        self.assertEqual(0, self.threshold(loads))
+
+    def test_a_target_that_is_down_offers_no_room(self):
+        loads = [samples.load(threshold=t) for t in (70, 50)]
+        loads.append(samples.load(limit=0))
+        self.assertEqual(50, self.threshold(loads))
+
+    def test_an_old_report_sheds_nothing(self):
+        loads = [samples.load(threshold=70)] * 3
+        self.assertEqual(0, self.threshold(loads, 5_000.0))
