Do not take an idle target for slow for ever

A mean was told, and believed, however old. Excluded: thresholds (0 at the idle ones), reachability. Change: a gate tells its mean for 0.6 s after the last run; old reports fade to the usual time of the service. Drains serve everything for 2.3 s, then end. Shed lines name the service, its threshold and the age.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -31,15 +31,15 @@
 
 TICK_MS = 50.0
 # After SIGTERM: callers are told by the readiness answer and stay away after
-# two misses, one second apart; until then their requests are served.
-SERVE_AFTER_TERM_MS = 3_000.0
-# Peers are told to send their runs elsewhere this long after SIGTERM.
-PEERS_AFTER_TERM_MS = 800.0
+# two misses, one second apart; until then everything is served. A target
+# stands idle from then until its daemon is back, so that a longer drain takes
+# several targets of a service out at once when VMs are restarted in turn.
+SERVE_AFTER_TERM_MS = 2_300.0
 # The process ends this long before it would be killed; closing everything
 # takes up to half a second on a busy VM.
 KILL_MARGIN_MS = 900.0
-# A daemon that is idle for this long after the time above may end.
-QUIET_MS = 300.0
+# A daemon that is idle for this long after that time ends.
+QUIET_MS = 200.0
 LISTEN_BACKLOG = 1024
 # Interval of the log lines on the state of the target.
 STATE_LOG_MS = 1_000.0
@@ -262,9 +262,8 @@
         end_ms -= KILL_MARGIN_MS
         while (now_ms := clock.monotonic_ms()) < end_ms:
             since_ms = now_ms - self._term_ms
-            if since_ms > PEERS_AFTER_TERM_MS:
-                self.runner.refuse_code = Code.LEAVING
             if since_ms > SERVE_AFTER_TERM_MS:
+                self.runner.refuse_code = Code.LEAVING
                 for connection in list(self._callers):
                     connection.close_if_idle()
                 quiet = now_ms - self._active_ms > QUIET_MS
--- a/mimosahaven/mesh/gate.py
+++ b/mimosahaven/mesh/gate.py
@@ -21,6 +21,8 @@
 # Targets may slow down when nearly all slots are taken; one free slot in
 # twenty avoids this and costs as much capacity.
 FILL_SHARE = 0.95
+# A mean time of runs is told for this long after the last of them.
+MEAN_KEEP_MS = 600.0
 # Load is judged over this time; the times of a run vary too much for less.
 WINDOW_MS = 150.0
 # A target at which calls wait longer than this is overloaded. A request makes
@@ -83,6 +85,7 @@
         self._threshold = shedding.ShedThreshold()
         self._window = overload.LoadWindow(now_ms)
         self._seen_ms = now_ms
+        self._finished_ms = now_ms
         self.set_slots(slots)
 
     def set_slots(self, slots: int) -> None:
@@ -97,7 +100,13 @@
 
     @property
     def mean_ms(self) -> float:
-        """Mean time of a run."""
+        """Mean time of a run; 0 when none has ended lately.
+
+        An old mean would keep work away from an idle target for ever: only new
+        work could show that it is no longer slow.
+        """
+        if self._seen_ms - self._finished_ms > MEAN_KEEP_MS:
+            return 0.0
         return self._service.mean_ms
 
     @property
@@ -131,6 +140,7 @@
         self._window.finished += 1
         if service_ms is not None:
             self._service.learn(service_ms)
+            self._finished_ms = now_ms
         verdicts = Verdicts()
         self._settle(verdicts, now_ms)
         return verdicts
--- a/mimosahaven/mesh/origin.py
+++ b/mimosahaven/mesh/origin.py
@@ -141,7 +141,7 @@
             return self.refuse(trip)
         self._budget.record_fresh(trip.service, request.read_ms)
         if trip.parent is None and self._sheds(trip):
-            self._log.request(trip.attempt_id, "shed", Code.SHED_AT_ENTRY, "")
+            self._log_shed(trip)
             return self.refuse(Code.SHED_AT_ENTRY)
         limit_ms = trip.deadline_ms - clock.monotonic_ms() + LAST_WORD_MS
         try:
@@ -202,6 +202,18 @@
             trip.service, trip.route.name, trip.priority, False, now_ms
         )
 
+    def _log_shed(self, trip: Trip) -> None:
+        service, threshold, age_ms = self._thresholds.cause(
+            trip.service, trip.route.name, trip.priority, trip.request.read_ms
+        )
+        self._log.request(
+            trip.attempt_id,
+            "shed",
+            Code.SHED_AT_ENTRY,
+            f"{trip.route.name}, priority {trip.priority} below {threshold} "
+            f"of {service}, age {age_ms:.0f} ms",
+        )
+
     async def _send_until_settled(self, trip: Trip) -> Reply:
         tried: set[str] = set()
         arrived_count = 0
--- a/mimosahaven/mesh/placement.py
+++ b/mimosahaven/mesh/placement.py
@@ -23,7 +23,7 @@
 DOWN_KEEP_MS = 500.0
 # Thresholds change within a few hundred ms.
 THRESHOLD_KEEP_MS = 1_000.0
-# Time of a run assumed for a target that has not reported one.
+# Time of a run assumed when no target of the service has reported one.
 DEFAULT_MEAN_MS = 60.0
 # Weight of one result in the failure share of a target.
 FAILURE_SMOOTHING = 0.1
@@ -160,13 +160,14 @@
           now_ms: Present time.
         """
         best, best_score = None, float("inf")
+        usual_ms = self._usual_ms(candidates, now_ms)
         for target in candidates:
             if target.target_id in tried:
                 continue
             state = self.state(target)
             if state.unreachable_since_ms is not None:
                 continue
-            score = self.score_ms(target, state, now_ms)
+            score = self.score_ms(target, state, usual_ms, now_ms)
             score *= 1.0 + JITTER_SHARE * self._rng.random()
             if now_ms < state.avoid_until_ms or state.is_down(now_ms):
                 # Better than no target at all.
@@ -175,17 +176,42 @@
                 best, best_score = target, score
         return best
 
+    def _usual_ms(
+        self, candidates: Iterable[records.Target], now_ms: float
+    ) -> float:
+        """Returns the mean time of a run at targets with recent reports."""
+        total_ms, count = 0.0, 0
+        for target in candidates:
+            state = self.state(target)
+            load = state.load
+            recent = now_ms - state.load_ms < REPORT_KEEP_MS
+            if load is not None and load.mean_ms and recent:
+                total_ms += load.mean_ms
+                count += 1
+        return total_ms / count if count else DEFAULT_MEAN_MS
+
     def score_ms(
-        self, target: records.Target, state: TargetState, now_ms: float
+        self,
+        target: records.Target,
+        state: TargetState,
+        usual_ms: float,
+        now_ms: float,
     ) -> float:
-        """Returns the expected time until the target has run a new request."""
+        """Returns the expected time until the target has run a new request.
+
+        Args:
+          target: The target.
+          state: What is known of it.
+          usual_ms: Mean time of a run at the targets of its service.
+          now_ms: Present time.
+        """
         load = state.load
-        limit, mean_ms, others = max(1, target.slots), DEFAULT_MEAN_MS, 0.0
+        limit, mean_ms, others = max(1, target.slots), usual_ms, 0.0
         if load is not None:
             limit = max(1, load.limit)
-            mean_ms = load.mean_ms or DEFAULT_MEAN_MS
-            age_ms = now_ms - state.load_ms
-            keep = max(0.0, 1.0 - age_ms / REPORT_KEEP_MS)
+            keep = max(0.0, 1.0 - (now_ms - state.load_ms) / REPORT_KEEP_MS)
+            if load.mean_ms:
+                mean_ms += (load.mean_ms - usual_ms) * keep
             reported = load.running + load.waiting - state.outstanding_then
             others = max(0.0, reported) * keep
         ahead = (others + state.outstanding) / limit
--- a/mimosahaven/shedding.py
+++ b/mimosahaven/shedding.py
@@ -224,6 +224,26 @@
             ),
         ]
 
+    def cause(
+        self, first_service: str, kind: str, priority: int, now_ms: float
+    ) -> tuple[str, int, float]:
+        """Returns the service that refuses a call, its threshold and age.
+
+        Args:
+          first_service: Service that the caller asks for.
+          kind: Kind of the request.
+          priority: Priority of the call.
+          now_ms: Present time.
+        """
+        service = max(
+            self.services(first_service, kind),
+            key=lambda name: self.effect(name, priority, now_ms),
+        )
+        level = self._levels.get(service)
+        if level is None:
+            return service, 0, 0.0
+        return service, level.threshold, now_ms - level.at_ms
+
     def shed(
         self,
         first_service: str,
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -76,3 +76,10 @@
         for step in range(1, 100):
             self.gate.tick(now_ms + step * 100.0)
         self.assertEqual(0, self.gate.threshold)
+
+    def test_an_old_mean_is_not_told(self):
+        self.gate.offer(ticket(5), 0.0)
+        self.gate.finish(600.0, 600.0)
+        self.assertThat(self.gate.mean_ms, matchers.GreaterThan(0))
+        self.gate.tick(600.0 + gate_lib.MEAN_KEEP_MS + 1)
+        self.assertEqual(0.0, self.gate.mean_ms)
--- a/tests/mesh/test_placement.py
+++ b/tests/mesh/test_placement.py
@@ -65,6 +65,16 @@
         later_ms = placement_lib.DOWN_KEEP_MS
         self.assertThat(self.counts(later_ms)["i-1"], matchers.GreaterThan(0))
 
+    def test_a_target_that_was_slow_gets_work_again_when_idle(self):
+        # In trouble, a target that ran the last slow calls kept a mean of
+        # 0.6 s, and stood idle for the rest of the day.
+        self.placement.learn("10.0.0.1", samples.load(mean_ms=600.0), 0.0)
+        self.placement.learn("10.0.0.2", samples.load(mean_ms=100.0), 0.0)
+        self.assertEqual({"i-2": 100}, self.counts())
+        later_ms = placement_lib.REPORT_KEEP_MS
+        self.placement.learn("10.0.0.2", samples.load(mean_ms=100.0), later_ms)
+        self.assertThat(self.counts(later_ms)["i-1"], matchers.GreaterThan(0))
+
 
 class ThresholdTest(testtools.TestCase):
     """One target of a service is full, or down, while others have room."""
