Serve metrics, read changed settings, refuse the backlog of a pause

Cause: SIGHUP would have ended the daemon; the pause detector was not asked; counters and latencies were not to be seen.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -1,6 +1,7 @@
 """Assembles the parts of one mesh daemon and runs them."""
 
 import asyncio
+import pathlib
 import random
 import signal
 import sys
@@ -10,6 +11,7 @@
 from mimosahaven import collector
 from mimosahaven import decisions
 from mimosahaven import pause as pause_lib
+from mimosahaven import settings as settings_base
 from mimosahaven import shedding
 from mimosahaven import tasks as tasks_lib
 from mimosahaven.mesh import callerserver
@@ -26,6 +28,7 @@
 from mimosahaven.mesh import resends
 from mimosahaven.mesh import runner as runner_lib
 from mimosahaven.mesh import settings as settings_lib
+from mimosahaven.mesh import sidepages
 
 Code = codes.Code
 
@@ -41,41 +44,17 @@
 # A daemon that is idle for this long after that time ends.
 QUIET_MS = 200.0
 LISTEN_BACKLOG = 1024
+METRICS_PATH = "/metrics"
 # Interval of the log lines on the state of the target.
 STATE_LOG_MS = 1_000.0
 
 
-class _Readiness:
-    """Answers the platform whether callers may come."""
-
-    def __init__(self, daemon: "MeshDaemon"):
-        self._daemon = daemon
-
-    async def handle(self, request: callerserver.Request) -> callerserver.Reply:
-        """Answers 200 when ready, else 503."""
-        listen = self._daemon.settings.listen
-        path = request.path.partition(b"?")[0].decode("latin-1")
-        if path != listen.readiness_path:
-            return callerserver.Reply(404)
-        return callerserver.Reply(200 if self._daemon.ready else 503)
-
-    def limits(self) -> records.CallerLimits:
-        """Returns the default limits."""
-        return records.CallerLimits()
-
-    def closing(self) -> bool:
-        """Keeps connections open."""
-        return False
-
-    def refuse(self, code: Code) -> callerserver.Reply:
-        """Answers what cannot be read."""
-        return callerserver.Reply(codes.describe(code).http_status)
-
-    def on_open(self, connection: callerserver.CallerConnection) -> None:
-        """Does nothing."""
-
-    def on_close(self, connection: callerserver.CallerConnection) -> None:
-        """Does nothing."""
+def _mtime_ns(path: pathlib.Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        # The platform may be replacing the file.
+        return 0
 
 
 class MeshDaemon:
@@ -102,6 +81,8 @@
         )
         self.thresholds = shedding.ThresholdMap(settings)
         self.peers = peerlink.PeerPool(settings, self._on_load)
+        self._settings_path: pathlib.Path | None = None
+        self._settings_mtime_ns = 0
         bounds = settings.bounds
         self.budget = resends.ResendBudget(
             bounds.resend_ratio,
@@ -112,6 +93,9 @@
             settings, feed, self.peers, self.log, rng
         )
         self.replica.on_change = self._on_fleet_change
+        self.replica.on_contact = lambda: self.pause.refreshed(
+            clock.monotonic_ms()
+        )
         self.origin = origin_lib.Origin(
             settings,
             self.replica,
@@ -143,6 +127,9 @@
         """Serves a request of a caller."""
         self._active_ms = request.read_ms
         self._observe(request.read_ms)
+        if self.pause.refuses_http(request.read_ms):
+            self.log.request("", "refused", Code.STALE_AFTER_PAUSE, "")
+            return self.origin.refuse(Code.STALE_AFTER_PAUSE)
         return await self.origin.handle(request)
 
     def limits(self) -> records.CallerLimits:
@@ -187,6 +174,14 @@
             self.replica.directory.revision,
         )
 
+    def refuse_run(self) -> Code | None:
+        """Returns why a run of a peer is refused, or None."""
+        now_ms = clock.monotonic_ms()
+        self._observe(now_ms)
+        if self.pause.refuses_new(now_ms):
+            return Code.STALE_AFTER_PAUSE
+        return None
+
     def state_beyond(self, request: frames.Fetch) -> frames.State:
         """Returns what is known beyond some versions."""
         return self.replica.state_beyond(request)
@@ -201,18 +196,47 @@
             host, table_version, list_revision, now_ms
         )
 
-    async def run(self) -> None:
-        """Runs until SIGTERM or SIGINT, then drains and returns."""
+    async def run(self, settings_path: pathlib.Path) -> None:
+        """Runs until SIGTERM or SIGINT, then drains and returns.
+
+        Args:
+          settings_path: File that is read again when it changes.
+        """
+        self._settings_path = settings_path
+        self._settings_mtime_ns = _mtime_ns(settings_path)
         loop = asyncio.get_running_loop()
         stopped = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopped.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         collector.tune()
         await stopped.wait()
         await self.drain()
         self.stop()
 
+    def reload(self) -> None:
+        """Reads the settings again; what cannot be used changes nothing.
+
+        Addresses and names stay as they were at the start.
+        """
+        self._settings_mtime_ns = _mtime_ns(self._settings_path)
+        try:
+            settings = settings_lib.load(self._settings_path)
+        except settings_base.SettingsError as error:
+            self.log.event(
+                "settings refused", "; ".join(error.faults), int(error.code)
+            )
+            return
+        bounds = settings.bounds
+        self.budget.set_bounds(
+            bounds.resend_ratio,
+            bounds.resend_slack,
+            bounds.resend_window_s * 1000,
+        )
+        self.settings = self.settings.model_copy(update={"bounds": bounds})
+        self.log.event("settings read", str(bounds))
+
     async def start(self) -> None:
         """Opens all sockets and starts the timers."""
         await self._listen()
@@ -236,15 +260,26 @@
     async def _listen(self) -> None:
         loop = asyncio.get_running_loop()
         listen = self.settings.listen
-        readiness = _Readiness(self)
-        for factory, address in (
+        readiness = sidepages.Page(
+            listen.readiness_path, lambda: (200 if self.ready else 503, "")
+        )
+        metrics = sidepages.Page(METRICS_PATH, lambda: (200, self._metrics()))
+        served = [
             (lambda: callerserver.CallerConnection(self), listen.callers),
             (lambda: peerserver.PeerServerConnection(self), listen.peers),
             (
                 lambda: callerserver.CallerConnection(readiness),
                 listen.readiness,
             ),
-        ):
+        ]
+        if listen.metrics_port:
+            address = settings_base.Endpoint(
+                host=self.settings.target.host, port=listen.metrics_port
+            )
+            served.append(
+                (lambda: callerserver.CallerConnection(metrics), address)
+            )
+        for factory, address in served:
             self._servers.append(
                 await loop.create_server(
                     factory,
@@ -254,6 +289,34 @@
                 )
             )
 
+    def _metrics(self) -> str:
+        gate = self.gate
+        replica = self.replica
+        now_ms = clock.monotonic_ms()
+        contact_ms = replica.contact_ms
+        return self.log.meters.render(
+            {
+                "ready": float(self.ready),
+                "target_running": gate.running,
+                "target_waiting": gate.waiting,
+                "target_limit": gate.limit,
+                "target_mean_ms": gate.mean_ms,
+                "target_down": float(self.runner.health.down),
+                "shed_threshold": gate.threshold,
+                "requests_in_flight": self.origin.in_flight_count,
+                "target_connections_opened": self.runner.pool.opened_count,
+                "table_version": replica.table_version,
+                "list_revision": replica.directory.revision,
+                "targets": len(replica.directory),
+                "store_contact_age_ms": (
+                    -1.0 if contact_ms is None else now_ms - contact_ms
+                ),
+                "unreachable_peers": len(self.placement.unreachable_hosts()),
+                "pauses": self.pause.pause_count,
+                "log_lines_dropped": self.log.dropped_count,
+            }
+        )
+
     async def drain(self) -> None:
         """Ends the work in flight, within the time before a kill."""
         self._term_ms = clock.monotonic_ms()
@@ -339,9 +402,15 @@
                 if not self._probing:
                     self.tasks.spawn(self._probe())
                 self._log_state(now_ms)
+                self._check_settings()
             self.log.flush()
             await asyncio.sleep(TICK_MS / 1000)
 
+    def _check_settings(self) -> None:
+        path = self._settings_path
+        if path is not None and _mtime_ns(path) != self._settings_mtime_ns:
+            self.reload()
+
     def _log_state(self, now_ms: float) -> None:
         gate = self.gate
         if now_ms - self._state_logged_ms < STATE_LOG_MS:
--- a/mimosahaven/mesh/eventlog.py
+++ b/mimosahaven/mesh/eventlog.py
@@ -1,12 +1,12 @@
 """Structured log of the mesh on standard output, bounded in volume."""
 
-import collections
 import time
 
 import msgspec
 
 from mimosahaven import codes
 from mimosahaven import decisions
+from mimosahaven.mesh import meters as meters_lib
 
 # Lines a second. Routine lines give way first.
 ROUTINE_LINES_PER_S = 60
@@ -52,18 +52,18 @@
         self._routine = 0
         self._trouble = 0
         self._dropped = 0
-        self.counts: collections.Counter[str] = collections.Counter()
-        self.latency_ms: collections.Counter[str] = collections.Counter()
+        self.meters = meters_lib.Meters()
 
     def event(self, event: str, detail: str = "", code: int = 0) -> None:
         """Logs a change of what the daemon knows or does."""
+        self.meters.count("events", event)
         self._write(event, "", code, detail)
 
     def request(
         self, attempt_id: str, event: str, code: codes.Code, detail: str
     ) -> None:
         """Logs a decision against a request."""
-        self.counts[f"{event.partition(' ')[0]}.{code.name}"] += 1
+        self.meters.count(event.partition(" ")[0], code.name)
         self._roll()
         self._trouble += 1
         if self._trouble > TROUBLE_LINES_PER_S:
@@ -80,7 +80,8 @@
         took_ms: float,
     ) -> None:
         """Logs the answer to a request."""
-        self.counts[f"answer.{status}"] += 1
+        self.meters.count("answers", str(status))
+        self.meters.record_latency(route, took_ms)
         self._roll()
         self._routine += 1
         if self._routine > ROUTINE_LINES_PER_S:
@@ -93,6 +94,11 @@
             f"{route} {status} by {target_id} in {took_ms:.0f} ms",
         )
 
+    @property
+    def dropped_count(self) -> int:
+        """Lines that the reader of the log was too slow for."""
+        return self._sink.dropped_count
+
     def flush(self) -> None:
         """Writes the waiting lines."""
         if self._lines:
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -4,6 +4,7 @@
 import typing
 
 from mimosahaven import clock
+from mimosahaven import codes
 from mimosahaven import tasks as tasks_lib
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import outcomes
@@ -18,6 +19,9 @@
     runner: runner_lib.Runner
     tasks: tasks_lib.Tasks
 
+    def refuse_run(self) -> codes.Code | None:
+        """Returns why a run is refused, or None."""
+
     def load(self) -> frames.Load:
         """Returns the state of the local target."""
 
@@ -113,6 +117,10 @@
             self._transport.write(frames.encode(frame))
 
     async def _serve_run(self, run: frames.Run) -> None:
+        code = self._node.refuse_run()
+        if code is not None:
+            await self._reply(outcomes.Refused(code))
+            return
         now_ms = clock.monotonic_ms()
         send = outcomes.Send(
             run, now_ms + run.remaining_ms, now_ms - run.root_age_ms
--- a/mimosahaven/mesh/replica.py
+++ b/mimosahaven/mesh/replica.py
@@ -111,6 +111,7 @@
         self._fetching = False
         self._complete = False
         self.on_change = lambda: None
+        self.on_contact = lambda: None
 
     @property
     def table_version(self) -> int:
@@ -273,6 +274,7 @@
           lapsed meanwhile; what goes later has left.
         """
         self.contact_ms = clock.monotonic_ms()
+        self.on_contact()
         if not self._failing:
             return False
         self._failing = False
--- a/mimosahaven/mesh/resends.py
+++ b/mimosahaven/mesh/resends.py
@@ -45,12 +45,20 @@
     """
 
     def __init__(self, ratio: float, slack: float, window_ms: float):
-        self._ratio = ratio
-        self._slack = slack
-        self._window_ms = window_ms
+        self.daemon_count = 1
         self._fresh: dict[str, _Steps] = {}
         self._repeats: dict[str, _Steps] = {}
-        self.daemon_count = 1
+        self._window_ms = window_ms
+        self.set_bounds(ratio, slack, window_ms)
+
+    def set_bounds(self, ratio: float, slack: float, window_ms: float) -> None:
+        """Takes in bounds; another window starts all counts anew."""
+        self._ratio = ratio
+        self._slack = slack
+        if window_ms != self._window_ms:
+            self._window_ms = window_ms
+            self._fresh.clear()
+            self._repeats.clear()
 
     def record_fresh(self, service: str, now_ms: float) -> None:
         """Counts a request for a service."""
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -1,10 +1,14 @@
 """Requests through whole daemons, on loopback addresses of the run's own."""
 
 import asyncio
+import json
+import pathlib
+import tempfile
 
 import testtools
 from testtools import matchers
 
+from mimosahaven import clock
 from mimosahaven.mesh import records
 from mimosahaven.mesh import replica
 from tests.mesh import fleet as fleet_lib
@@ -347,6 +351,41 @@
 
         self.play(scene)
 
+    def test_after_a_pause_the_backlog_is_refused_as_not_run(self):
+        async def scene():
+            async with fleet_lib.Fleet(["katalog"]) as fleet:
+                pause = fleet.daemons[0].pause
+                pause.resumed_ms = clock.monotonic_ms()
+                status, head, _ = await fleet.ask()
+                self.assertEqual(503, status)
+                self.assertEqual("2008", head["mimosahaven-code"])
+                self.assertEqual([], fleet.raw[0].requests)
+                pause.resumed_ms = None
+                status, _, _ = await fleet.ask(attempt="r2")
+                self.assertEqual(200, status)
+
+        self.play(scene)
+
+
+class SettingsTest(testtools.TestCase):
+    def test_changed_settings_are_read_and_faulty_ones_refused(self):
+        async def scene(path):
+            async with fleet_lib.Fleet(["katalog"]) as fleet:
+                daemon = fleet.daemons[0]
+                daemon._settings_path = path
+                raw = daemon.settings.model_dump()
+                raw["bounds"]["grace_s"] = 9.0
+                path.write_text("// changed\n" + json.dumps(raw))
+                daemon.reload()
+                self.assertEqual(9.0, daemon.settings.bounds.grace_s)
+                path.write_text("{")
+                daemon.reload()
+                self.assertEqual(9.0, daemon.settings.bounds.grace_s)
+
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.json"
+            asyncio.run(asyncio.wait_for(scene(path), 30))
+
 
 class BadInputTest(testtools.TestCase):
     def status_of(self, data):
