Lower the shed threshold quickly once a target is half idle

Excluded: other targets of presse (full, or gone), age of the reports. Change: with 30% or more free, the threshold falls by that part of a rank in each window of 150 ms.

--- a/mimosahaven/mesh/gate.py
+++ b/mimosahaven/mesh/gate.py
@@ -30,6 +30,10 @@
 WAIT_TARGET_MS = 25.0
 # Below this use of the limit, the target has room for more.
 FREE_SHARE = 0.9
+# With more than this free, the cause of the overload has ended: the threshold
+# falls by up to one unit of weight in each window. What it lets in step by step
+# would leave a target that is fast again half idle for seconds.
+IDLE_SHARE = 0.3
 # Part of the excess that one window removes. What was let in before reaches
 # the target for some windows more, so that a full correction overshoots.
 CORRECTION_SHARE = 0.6
@@ -209,4 +213,8 @@
         elif used > FREE_SHARE:
             self._threshold.hold()
         else:
-            self._threshold.lower(max(0.0, 1.0 - used))
+            free = max(0.0, 1.0 - used)
+            step_min = 0
+            if free > IDLE_SHARE:
+                step_min = int(identity.WEIGHT_STEP * free)
+            self._threshold.lower(free, step_min)
--- a/mimosahaven/shedding.py
+++ b/mimosahaven/shedding.py
@@ -70,7 +70,7 @@
         self._admitted.clear()
         self._step = 0
 
-    def lower(self, free_share: float) -> None:
+    def lower(self, free_share: float, step_min: int = 0) -> None:
         """Lowers the threshold after a window without overload.
 
         The priorities just below the threshold are taken to be as dense as
@@ -79,6 +79,7 @@
 
         Args:
           free_share: Share of the capacity that was not used, 0 to 1.
+          step_min: Smallest step, whatever the density says.
         """
         admitted = sorted(self._admitted)
         self._admitted.clear()
@@ -92,6 +93,7 @@
         if count < len(admitted):
             fitting = admitted[count] - self._value
             self._step = min(self._step, max(STEP_MIN, fitting))
+        self._step = max(self._step, step_min)
         self._value = max(0, self._value - self._step)
 
     def limit_to(self, ceiling: int) -> None:
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -83,3 +83,36 @@
         self.assertThat(self.gate.mean_ms, matchers.GreaterThan(0))
         self.gate.tick(600.0 + gate_lib.MEAN_KEEP_MS + 1)
         self.assertEqual(0.0, self.gate.mean_ms)
+
+
+class RecoveryTest(testtools.TestCase):
+    """A slow target is fast again, as in the incident inc-20d6."""
+
+    def test_the_threshold_falls_within_a_second(self):
+        gate = gate_lib.Gate(29, 0.0)
+        running, now_ms = 0, 0.0
+        for step in range(300):
+            now_ms = step * 5.0
+            weight = 98 + step % 3
+            priority = weight * identity.WEIGHT_STEP + step * 7919 % 65536
+            offered = gate_lib.Ticket(priority, now_ms + 500, now_ms)
+            running += len(gate.offer(offered, now_ms).run)
+            if step % 10 == 0 and running:
+                running += len(gate.finish(240.0, now_ms).run) - 1
+        self.assertThat(
+            gate.threshold, matchers.GreaterThan(99 * identity.WEIGHT_STEP)
+        )
+        end_ms = now_ms + 1_000.0
+        while now_ms < end_ms:
+            now_ms += 5.0
+            # Only the most important requests come; they use half the slots.
+            while running > 14:
+                running += len(gate.finish(20.0, now_ms).run) - 1
+            lowest = max(gate.threshold, 99 * identity.WEIGHT_STEP)
+            step = 101 * identity.WEIGHT_STEP - lowest
+            priority = lowest + int(now_ms) * 7919 % step
+            offered = gate_lib.Ticket(priority, now_ms + 500, now_ms)
+            running += len(gate.offer(offered, now_ms).run)
+        self.assertThat(
+            gate.threshold, matchers.LessThan(99 * identity.WEIGHT_STEP)
+        )
