--- a/mimosahaven/cli_common.py
+++ b/mimosahaven/cli_common.py
@@ -2,6 +2,7 @@
 
 import enum
 import sys
+from collections.abc import Callable
 from collections.abc import Sequence
 
 import click
@@ -47,15 +48,20 @@
             )
 
 
-daemon_option = click.option(
-    "--daemon",
-    "addresses",
-    type=AddressType(),
-    multiple=True,
-    required=True,
-    help="Entry of a daemon. With one, the other daemons are learnt from it; "
-    "with several, exactly these are asked.",
-)
+def make_daemon_option(required: bool) -> Callable:
+    """Returns the decorator for the entries of daemons."""
+    return click.option(
+        "--daemon",
+        "addresses",
+        type=AddressType(),
+        multiple=True,
+        required=required,
+        help="Entry of a daemon. With one, the other daemons are learnt from "
+        "it; with several, exactly these are asked.",
+    )
+
+
+daemon_option = make_daemon_option(required=True)
 version_option = click.version_option(
     mimosahaven.__version__, message="%(prog)s %(version)s"
 )
--- a/mimosahaven/cli_explain.py
+++ b/mimosahaven/cli_explain.py
@@ -1,7 +1,9 @@
 """Program mimosahaven-explain: tells what was decided about a call."""
 
 import asyncio
+import itertools
 import time
+import typing
 from collections.abc import Sequence
 
 import click
@@ -12,6 +14,7 @@
 from mimosahaven import daemonclient
 from mimosahaven import decisions
 from mimosahaven import identity
+from mimosahaven import logreader
 
 ExitCode = cli_common.ExitCode
 
@@ -19,12 +22,14 @@
 Tells in order what the daemons decided about one action or call.
 
 ID is an action id, as in the answer header Mimosahaven-Action, or a call
-id from a log line. The order is that of the daemons' wall clocks.
+id from a log line; with --log, the id of a request of the mesh. The order is
+that of the daemons' wall clocks.
 
 \b
 Example:
   mimosahaven-explain ordre-1.00c0ffee00c0ffee.81234.7 \\
       --daemon 127.0.0.1:7001
+  mimosahaven-explain 9c41d07be2a35f68 --log daemons.log
 
 Exit codes: 0 success, 1 nothing is known about ID, 2 wrong usage, 3 no
 daemon answers.
@@ -40,7 +45,14 @@
 
 @click.command(help=_HELP)
 @click.argument("identity_text", metavar="ID")
-@cli_common.daemon_option
+@cli_common.make_daemon_option(required=False)
+@click.option(
+    "--log",
+    "logs",
+    type=click.File(errors="replace"),
+    multiple=True,
+    help="Log of mesh daemons to read instead of asking; - is standard input.",
+)
 @click.option(
     "--json", "as_json", is_flag=True, help="Print one JSON document."
 )
@@ -48,13 +60,36 @@
 def command(
     identity_text: str,
     addresses: tuple[daemonclient.Address, ...],
+    logs: tuple[typing.TextIO, ...],
     as_json: bool,
 ) -> int:
     """Tells in order what the daemons decided about one action or call."""
+    if logs:
+        return _explain_logs(identity_text, logs, as_json)
+    if not addresses:
+        raise click.UsageError("give --daemon or --log")
     _check_identity(identity_text)
     return asyncio.run(_run(identity_text, list(addresses), as_json))
 
 
+def _explain_logs(
+    attempt_id: str, logs: tuple[typing.TextIO, ...], as_json: bool
+) -> int:
+    found = logreader.about(itertools.chain.from_iterable(logs), attempt_id)
+    if as_json:
+        click.echo(msgspec.json.encode(found).decode())
+    else:
+        for line in found:
+            click.echo(logreader.sentence(line, attempt_id))
+    if not found:
+        raise cli_common.ProgramError(
+            ExitCode.CHECK_FAILED,
+            f"the logs have no line on {attempt_id}; lines are left out above "
+            "a rate, see their field dropped",
+        )
+    return ExitCode.OK
+
+
 def _check_identity(text: str) -> None:
     try:
         identity.parse_action_id(text.partition("/")[0])
--- /dev/null
+++ b/mimosahaven/logreader.py
@@ -0,0 +1,52 @@
+"""Finds what the log lines of mesh daemons say of one request."""
+
+import time
+from collections.abc import Iterable
+
+import msgspec
+
+from mimosahaven.mesh import eventlog
+from mimosahaven.mesh import inflight
+
+_DECODER = msgspec.json.Decoder(eventlog.Line)
+
+
+def parse(text: str) -> eventlog.Line | None:
+    """Returns a line of the log, or None for any other text.
+
+    Args:
+      text: A line; what a collector has put in front of the JSON is skipped.
+    """
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        return _DECODER.decode(text[start:])
+    except msgspec.MsgspecError:
+        return None
+
+
+def about(lines: Iterable[str], attempt_id: str) -> list[eventlog.Line]:
+    """Returns the lines on a request and on the calls made for it, by time."""
+    calls = attempt_id + inflight.SEPARATOR
+    found = []
+    for text in lines:
+        # Most lines are about other requests; decoding all costs much more.
+        if attempt_id not in text:
+            continue
+        line = parse(text)
+        if line and (line.id == attempt_id or line.id.startswith(calls)):
+            found.append(line)
+    return sorted(found, key=lambda line: line.at_ms)
+
+
+def sentence(line: eventlog.Line, attempt_id: str) -> str:
+    """Returns a line as text for people."""
+    seconds, ms = divmod(line.at_ms, 1000)
+    clock = time.strftime("%H:%M:%S", time.gmtime(seconds))
+    call = line.id.removeprefix(attempt_id)
+    about_call = f" call {call}" if call else ""
+    code = f" ({line.code})" if line.code else ""
+    return f"{clock}.{ms:03d} {line.vm}{about_call}: {line.event}{code}" + (
+        f": {line.detail}" if line.detail else ""
+    )
--- a/tests/test_cli_explain.py
+++ b/tests/test_cli_explain.py
@@ -1,6 +1,8 @@
 """Tests of mimosahaven.cli_explain."""
 
 import json
+import os
+import tempfile
 
 import testtools
 from testtools import matchers
@@ -99,3 +101,20 @@
         self.assertThat(
             cli_explain.sentence(step), matchers.Contains("Code 2999, which")
         )
+
+
+class ExplainLogsTest(testtools.TestCase):
+    def explain(self, identity):
+        path = tempfile.mkstemp()[1]
+        self.addCleanup(os.remove, path)
+        with open(path, "w") as log:
+            log.write('{"at_ms":5,"vm":"v","event":"shed","id":"r1"}\n')
+        return daemons.run_main(cli_explain.main, identity, "--log", path)
+
+    def test_a_request_is_found_in_a_log(self):
+        result = self.explain("r1")
+        self.assertThat(result[0], matchers.Equals(0))
+        self.assertThat(result[1], matchers.Contains("v: shed"))
+
+    def test_an_unknown_request_fails_the_check(self):
+        self.assertThat(self.explain("r9")[0], matchers.Equals(1))
