Prove that a peer lives before a run that may happen only once

A service without listed targets was told to be lost only after 1.5 s. Excluded: barring alone (a frozen peer cannot be asked). Change: a ping on the very connection, 0.3 s at most, before such a run; without an answer the run has not been sent and another target is tried. A service without listed targets is lost at once.

--- a/mimosahaven/mesh/origin.py
+++ b/mimosahaven/mesh/origin.py
@@ -226,11 +226,11 @@
                 break
             if arrived_count >= trip.route.targets_max:
                 break
-            target = self._placement.choose(
-                self._replica.directory.serving(trip.service), tried, now_ms
-            )
+            candidates = self._replica.directory.serving(trip.service)
+            target = self._placement.choose(candidates, tried, now_ms)
             if target is None:
-                self._note_lost(trip.service, tried, now_ms)
+                if not tried:
+                    self._note_lost(trip.service, bool(candidates), now_ms)
                 break
             self._lost_since_ms.pop(trip.service, None)
             if arrived_count and not self._may_repeat(trip, now_ms):
@@ -251,16 +251,19 @@
                     break
         return self._gave_up(trip, code, unknown, len(tried))
 
-    def _note_lost(self, service: str, tried: set[str], now_ms: float) -> None:
+    def _note_lost(self, service: str, listed: bool, now_ms: float) -> None:
         """Notes that no target of a service can be reached.
 
         When this lasts, the origins of requests that need the service refuse
         them: the work that other services do for them is wasted.
+
+        Args:
+          service: The service.
+          listed: Whether the list has serving targets of it.
+          now_ms: Present time.
         """
-        if tried:
-            return
         since_ms = self._lost_since_ms.setdefault(service, now_ms)
-        if now_ms - since_ms > SERVICE_LOST_MS:
+        if not listed or now_ms - since_ms > SERVICE_LOST_MS:
             self._thresholds.learn(service, NOTHING_PRIORITY, 0.0, now_ms)
 
     def _may_repeat(self, trip: Trip, now_ms: float) -> bool:
--- a/mimosahaven/mesh/peerlink.py
+++ b/mimosahaven/mesh/peerlink.py
@@ -146,7 +146,10 @@
 
     async def run(self, host: str, send: outcomes.Send) -> outcomes.Outcome:
         """Lets the daemon of another VM run a request on its target."""
-        connection = await self._acquire(host)
+        if send.run.once:
+            connection = await self._acquire_proved(host, send)
+        else:
+            connection = await self._acquire(host)
         if connection is None:
             return outcomes.Refused(Code.LINK_LOST)
         try:
@@ -229,6 +232,42 @@
                 return connection
         return await self._open(host)
 
+    async def _acquire_proved(
+        self, host: str, send: outcomes.Send
+    ) -> PeerConnection | None:
+        """Returns a connection on which the peer has just answered.
+
+        A run that may happen once and is sent into silence is lost: nobody can
+        tell whether it has arrived. One small exchange beforehand keeps it
+        free for another target.
+        """
+        connection = await self._acquire(host)
+        for _ in range(2):
+            if connection is None:
+                return None
+            run = send.run
+            connection.send(
+                frames.Ping(
+                    self._own_host, run.table_version, run.list_revision
+                )
+            )
+            try:
+                frame = await connection.receive(self._limits.proof_timeout_ms)
+            except PeerLostError:
+                connection.close()
+                # A kept connection may have ended with an earlier process.
+                connection = await self._open(host)
+                continue
+            except asyncio.CancelledError:
+                connection.close()
+                raise
+            if isinstance(frame, frames.Pong):
+                self._on_load(host, frame.load)
+                return connection
+            connection.close()
+            return None
+        return None
+
     async def _open(
         self, host: str, port: int | None = None
     ) -> PeerConnection | None:
--- a/mimosahaven/mesh/settings.py
+++ b/mimosahaven/mesh/settings.py
@@ -84,6 +84,8 @@
       confirm_ms: Time after which a peer confirms a run that has not ended.
       accept_timeout_ms: Time until a peer confirms or ends a run. A round trip
         takes a few ms; the rest allows for a busy or briefly stopped peer.
+      proof_timeout_ms: Time for a peer to answer before it is sent a run that
+        may happen only once.
       ping_ms: Interval of signs of life while a run is in progress.
       silence_ms: Time without any sign of life after which a connection is
         taken for lost; several pings may be late.
@@ -94,6 +96,7 @@
     connect_timeout_ms: PositiveMs = 400
     confirm_ms: PositiveMs = 150
     accept_timeout_ms: PositiveMs = 600
+    proof_timeout_ms: PositiveMs = 300
     ping_ms: PositiveMs = 400
     silence_ms: PositiveMs = 1_500
     idle_ms: PositiveMs = 20_000
--- /dev/null
+++ b/tests/mesh/test_peerlink.py
@@ -0,0 +1,128 @@
+import asyncio
+
+import testtools
+
+from mimosahaven import clock
+from mimosahaven import codes
+from mimosahaven.mesh import frames
+from mimosahaven.mesh import outcomes
+from mimosahaven.mesh import peerlink
+from mimosahaven.mesh import settings as settings_lib
+from tests.mesh import samples
+from tests.mesh import test_frames
+
+Code = codes.Code
+
+
+class Peer:
+    """A peer whose answers to frames are chosen by the test."""
+
+    def __init__(self, answer):
+        self._answer = answer
+        self.received = []
+
+    async def start(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return server, server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        splitter = frames.Splitter()
+        while data := await reader.read(65536):
+            for frame in splitter.feed(data):
+                self.received.append(frame)
+                reply = self._answer(frame, len(self.received))
+                if reply is None:
+                    continue
+                if reply == "reset":
+                    writer.transport.abort()
+                    return
+                writer.write(frames.encode(reply))
+        writer.close()
+
+
+def answer_run():
+    return frames.Answer(200, b"OK", [], b"hi", False, samples.load(), {})
+
+
+class PeerPoolTest(testtools.TestCase):
+    def run_against(self, answer, once=True):
+        peer = Peer(answer)
+
+        async def scene():
+            server, port = await peer.start()
+            settings = settings_lib.MeshSettings.model_validate(
+                {
+                    "vm": "vm",
+                    "failure_domain": "a",
+                    "service": "katalog",
+                    "target": "127.0.0.1:1",
+                    "listen": {
+                        "callers": "127.0.0.1:1",
+                        "peers": f"127.0.0.1:{port}",
+                        "readiness": "127.0.0.1:1",
+                    },
+                    "store": {"endpoint": "127.0.0.1:1"},
+                    "peers": {
+                        "accept_timeout_ms": 200,
+                        "proof_timeout_ms": 100,
+                        "silence_ms": 200,
+                    },
+                }
+            )
+            pool = peerlink.PeerPool(settings, lambda host, load: None)
+            now_ms = clock.monotonic_ms()
+            run = test_frames.run()
+            run.once = once
+            send = outcomes.Send(run, now_ms + 2_000, now_ms)
+            try:
+                return await pool.run("127.0.0.1", send)
+            finally:
+                pool.close()
+                server.close()
+
+        outcome = asyncio.run(asyncio.wait_for(scene(), 30))
+        return outcome, [type(frame).__name__ for frame in peer.received]
+
+    def test_a_silent_peer_is_not_sent_what_may_run_only_once(self):
+        # A frozen VM still accepts connections.
+        outcome, received = self.run_against(lambda frame, number: None)
+        self.assertEqual(outcomes.Refused(Code.LINK_LOST), outcome)
+        self.assertNotIn("Run", received)
+
+    def test_a_lost_run_is_inquired_and_barred(self):
+        def answer(frame, number):
+            match frame:
+                case frames.Ping():
+                    return frames.Pong(samples.load())
+                case frames.Run():
+                    return "reset"
+                case frames.Inquire():
+                    return frames.Barred()
+
+        outcome, received = self.run_against(answer)
+        self.assertEqual(outcomes.Refused(Code.BARRED), outcome)
+        self.assertEqual(["Ping", "Run", "Inquire"], received)
+
+    def test_a_lost_run_that_was_done_gives_its_answer(self):
+        def answer(frame, number):
+            match frame:
+                case frames.Ping():
+                    return frames.Pong(samples.load())
+                case frames.Run():
+                    return None
+                case frames.Inquire():
+                    return answer_run()
+
+        outcome, _ = self.run_against(answer)
+        self.assertEqual(b"hi", bytes(outcome.stream.body))
+
+    def test_a_run_that_may_be_repeated_is_sent_at_once(self):
+        outcome, received = self.run_against(
+            lambda frame, number: answer_run(), once=False
+        )
+        self.assertEqual(["Run"], received)
+        self.assertTrue(outcome.stream.whole)
+
+    def test_a_lost_run_that_may_be_repeated_has_failed(self):
+        outcome, _ = self.run_against(lambda frame, number: "reset", once=False)
+        self.assertEqual(outcomes.Failed(Code.LINK_LOST), outcome)
