Split reporting, back pressure and the settings file off, drop unused fields

Cause: reading pass. daemon.py had 447 lines; two protocols held the same code for slow readers, two more the same for pausing; some fields were never read.

--- a/mimosahaven/mesh/callerserver.py
+++ b/mimosahaven/mesh/callerserver.py
@@ -13,6 +13,7 @@
 from mimosahaven import clock
 from mimosahaven import codes
 from mimosahaven.mesh import answers
+from mimosahaven.mesh import flow
 from mimosahaven.mesh import http1
 from mimosahaven.mesh import records
 
@@ -99,16 +100,16 @@
     reply: Reply | None = None
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(flow.WriteFlow):
     """One connection of a caller. Replies go out in order of the requests."""
 
     def __init__(self, service: Service):
+        super().__init__()
         self._service = service
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._exchanges: collections.deque[_Exchange] = collections.deque()
         self._writing = False
-        self._writable: asyncio.Future | None = None
         self._lost = False
         self._closing = False
         self._read_paused = False
@@ -134,24 +135,13 @@
         for exchange in self._exchanges:
             self._drop(exchange)
         self._exchanges.clear()
-        if self._writable is not None and not self._writable.done():
-            self._writable.set_result(None)
+        self.release_writers()
         self._service.on_close(self)
 
     def eof_received(self) -> bool:
         """Takes the end of a caller's bytes as its leaving."""
         return False
 
-    def pause_writing(self) -> None:
-        """Stops writing until the caller has read more."""
-        self._writable = asyncio.get_running_loop().create_future()
-
-    def resume_writing(self) -> None:
-        """Goes on writing."""
-        if self._writable is not None and not self._writable.done():
-            self._writable.set_result(None)
-        self._writable = None
-
     def data_received(self, data: bytes) -> None:
         """Parses bytes of the caller."""
         if self._closing:
@@ -317,8 +307,7 @@
         )
         while data := await stream.take():
             self._transport.write(http1.chunk(data))
-            if self._writable is not None:
-                await self._writable
+            await self.drained()
             if self._lost:
                 break
         if not stream.whole or self._lost:
--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -25,6 +25,7 @@
 from mimosahaven.mesh import placement as placement_lib
 from mimosahaven.mesh import records
 from mimosahaven.mesh import replica as replica_lib
+from mimosahaven.mesh import report
 from mimosahaven.mesh import resends
 from mimosahaven.mesh import runner as runner_lib
 from mimosahaven.mesh import settings as settings_lib
@@ -49,14 +50,6 @@
 STATE_LOG_MS = 1_000.0
 
 
-def _mtime_ns(path: pathlib.Path) -> int:
-    try:
-        return path.stat().st_mtime_ns
-    except OSError:
-        # The platform may be replacing the file.
-        return 0
-
-
 class MeshDaemon:
     """One daemon: it serves callers and runs requests on its target."""
 
@@ -81,8 +74,7 @@
         )
         self.thresholds = shedding.ThresholdMap(settings)
         self.peers = peerlink.PeerPool(settings, self._on_load)
-        self._settings_path: pathlib.Path | None = None
-        self._settings_mtime_ns = 0
+        self.settings_file: settings_lib.SettingsFile | None = None
         bounds = settings.bounds
         self.budget = resends.ResendBudget(
             bounds.resend_ratio,
@@ -202,8 +194,7 @@
         Args:
           settings_path: File that is read again when it changes.
         """
-        self._settings_path = settings_path
-        self._settings_mtime_ns = _mtime_ns(settings_path)
+        self.settings_file = settings_lib.SettingsFile(settings_path)
         loop = asyncio.get_running_loop()
         stopped = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -220,9 +211,8 @@
 
         Addresses and names stay as they were at the start.
         """
-        self._settings_mtime_ns = _mtime_ns(self._settings_path)
         try:
-            settings = settings_lib.load(self._settings_path)
+            settings = self.settings_file.read()
         except settings_base.SettingsError as error:
             self.log.event(
                 "settings refused", "; ".join(error.faults), int(error.code)
@@ -290,32 +280,7 @@
             )
 
     def _metrics(self) -> str:
-        gate = self.gate
-        replica = self.replica
-        now_ms = clock.monotonic_ms()
-        contact_ms = replica.contact_ms
-        return self.log.meters.render(
-            {
-                "ready": float(self.ready),
-                "target_running": gate.running,
-                "target_waiting": gate.waiting,
-                "target_limit": gate.limit,
-                "target_mean_ms": gate.mean_ms,
-                "target_down": float(self.runner.health.down),
-                "shed_threshold": gate.threshold,
-                "requests_in_flight": self.origin.in_flight_count,
-                "target_connections_opened": self.runner.pool.opened_count,
-                "table_version": replica.table_version,
-                "list_revision": replica.directory.revision,
-                "targets": len(replica.directory),
-                "store_contact_age_ms": (
-                    -1.0 if contact_ms is None else now_ms - contact_ms
-                ),
-                "unreachable_peers": len(self.placement.unreachable_hosts()),
-                "pauses": self.pause.pause_count,
-                "log_lines_dropped": self.log.dropped_count,
-            }
-        )
+        return self.log.meters.render(report.gauges(self))
 
     async def drain(self) -> None:
         """Ends the work in flight, within the time before a kill."""
@@ -402,27 +367,15 @@
                 if not self._probing:
                     self.tasks.spawn(self._probe())
                 self._log_state(now_ms)
-                self._check_settings()
+                if self.settings_file and self.settings_file.has_changed():
+                    self.reload()
             self.log.flush()
             await asyncio.sleep(TICK_MS / 1000)
 
-    def _check_settings(self) -> None:
-        path = self._settings_path
-        if path is not None and _mtime_ns(path) != self._settings_mtime_ns:
-            self.reload()
-
     def _log_state(self, now_ms: float) -> None:
-        gate = self.gate
-        if now_ms - self._state_logged_ms < STATE_LOG_MS:
-            return
-        self._state_logged_ms = now_ms
-        self.log.event(
-            "state",
-            f"target {gate.running}/{gate.limit} runs, {gate.waiting} wait, "
-            f"mean {gate.mean_ms:.0f} ms, threshold {gate.threshold}, "
-            f"{self.origin.in_flight_count} requests here, "
-            f"{self.runner.pool.opened_count} connections opened",
-        )
+        if now_ms - self._state_logged_ms >= STATE_LOG_MS:
+            self._state_logged_ms = now_ms
+            self.log.event("state", report.state_text(self))
 
     async def _probe(self) -> None:
         """Pings the peers that could not be reached."""
--- a/mimosahaven/mesh/inflight.py
+++ b/mimosahaven/mesh/inflight.py
@@ -18,7 +18,6 @@
       deadline_ms: Deadline on the clock of this daemon.
       repeat: Whether it, or the request it serves, was sent before.
       tree: Runs at each service that its calls have taken so far.
-      refused_calls: Calls made for it that were refused.
     """
 
     attempt_id: str
@@ -27,7 +26,6 @@
     deadline_ms: float
     repeat: bool
     tree: dict[str, float] = dataclasses.field(default_factory=dict)
-    refused_calls: int = 0
 
     def add_tree(self, tree: dict[str, float]) -> None:
         """Adds the runs that one call has taken."""
--- a/mimosahaven/mesh/origin.py
+++ b/mimosahaven/mesh/origin.py
@@ -372,8 +372,6 @@
             code = Code.TARGET_LOST
         elif not unknown and code is Code.LINK_LOST:
             code = Code.NO_TARGET
-        if trip.parent is not None:
-            trip.parent.refused_calls += 1
         self._log.request(
             trip.attempt_id,
             "gave up",
--- a/mimosahaven/mesh/peerlink.py
+++ b/mimosahaven/mesh/peerlink.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import collections
+import functools
 from collections.abc import Callable
 
 from mimosahaven import clock
 from mimosahaven import codes
 from mimosahaven.mesh import answers
+from mimosahaven.mesh import flow
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import outcomes
 from mimosahaven.mesh import settings as settings_lib
@@ -64,7 +66,7 @@
     def stream_rest(self, stream: answers.AnswerStream) -> None:
         """Lets the Data frames that follow fill an answer."""
         self._stream = stream
-        stream.on_pause = self._set_paused
+        stream.on_pause = functools.partial(flow.set_reading, self._transport)
         stream.on_abandon = self.close
         while self._inbox:
             self._to_stream(self._inbox.popleft())
@@ -114,14 +116,6 @@
                 else:
                     stream.fail(Code.ANSWER_TRUNCATED)
 
-    def _set_paused(self, paused: bool) -> None:
-        if self._transport.is_closing():
-            return
-        if paused:
-            self._transport.pause_reading()
-        else:
-            self._transport.resume_reading()
-
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -6,6 +6,7 @@
 from mimosahaven import clock
 from mimosahaven import codes
 from mimosahaven import tasks as tasks_lib
+from mimosahaven.mesh import flow
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import outcomes
 from mimosahaven.mesh import runner as runner_lib
@@ -34,16 +35,16 @@
         """Takes in what a peer knows."""
 
 
-class PeerServerConnection(asyncio.Protocol):
+class PeerServerConnection(flow.WriteFlow):
     """One connection from a peer; it carries one exchange at a time."""
 
     def __init__(self, node: Node):
+        super().__init__()
         self._node = node
         self._transport: asyncio.Transport | None = None
         self._splitter = frames.Splitter()
         self._task: asyncio.Task | None = None
         self._once = False
-        self._writable: asyncio.Future | None = None
         self._lost = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -69,18 +70,7 @@
         self._lost = True
         if self._task is not None and not self._once:
             self._task.cancel()
-        if self._writable is not None and not self._writable.done():
-            self._writable.set_result(None)
-
-    def pause_writing(self) -> None:
-        """Stops the stream of an answer until the peer has read more."""
-        self._writable = asyncio.get_running_loop().create_future()
-
-    def resume_writing(self) -> None:
-        """Goes on with the stream of an answer."""
-        if self._writable is not None and not self._writable.done():
-            self._writable.set_result(None)
-        self._writable = None
+        self.release_writers()
 
     def _on_frame(self, frame: frames.Frame) -> None:
         node = self._node
@@ -183,8 +173,7 @@
         try:
             while data := await stream.take():
                 self._write(frames.Data(data))
-                if self._writable is not None:
-                    await self._writable
+                await self.drained()
                 if self._lost:
                     break
         finally:
--- /dev/null
+++ b/mimosahaven/mesh/report.py
@@ -0,0 +1,45 @@
+"""What a mesh daemon tells of itself, in metrics and in the log."""
+
+import typing
+
+from mimosahaven import clock
+
+if typing.TYPE_CHECKING:
+    from mimosahaven.mesh import daemon as daemon_lib
+
+
+def gauges(daemon: "daemon_lib.MeshDaemon") -> dict[str, float]:
+    """Returns the present values for the metrics, by name."""
+    gate = daemon.gate
+    replica = daemon.replica
+    contact_ms = replica.contact_ms
+    age_ms = -1.0 if contact_ms is None else clock.monotonic_ms() - contact_ms
+    return {
+        "ready": float(daemon.ready),
+        "target_running": gate.running,
+        "target_waiting": gate.waiting,
+        "target_limit": gate.limit,
+        "target_mean_ms": gate.mean_ms,
+        "target_down": float(daemon.runner.health.down),
+        "shed_threshold": gate.threshold,
+        "requests_in_flight": daemon.origin.in_flight_count,
+        "target_connections_opened": daemon.runner.pool.opened_count,
+        "table_version": replica.table_version,
+        "list_revision": replica.directory.revision,
+        "targets": len(replica.directory),
+        "store_contact_age_ms": age_ms,
+        "unreachable_peers": len(daemon.placement.unreachable_hosts()),
+        "pauses": daemon.pause.pause_count,
+        "log_lines_dropped": daemon.log.dropped_count,
+    }
+
+
+def state_text(daemon: "daemon_lib.MeshDaemon") -> str:
+    """Returns the state of the local target for the log."""
+    gate = daemon.gate
+    return (
+        f"target {gate.running}/{gate.limit} runs, {gate.waiting} wait, "
+        f"mean {gate.mean_ms:.0f} ms, threshold {gate.threshold}, "
+        f"{daemon.origin.in_flight_count} requests here, "
+        f"{daemon.runner.pool.opened_count} connections opened"
+    )
--- a/mimosahaven/mesh/settings.py
+++ b/mimosahaven/mesh/settings.py
@@ -36,7 +36,6 @@
     target_id: str = "Mimosahaven-Target"
     not_run: str = "Mimosahaven-Not-Run"
     caller: str = "Mimosahaven-Caller"
-    answering_target: str = "Mimosahaven-Answering-Target"
 
 
 class ListenSettings(Part):
@@ -61,7 +60,6 @@
     """What the operators of the platform promise or ask for.
 
     Attributes:
-      drain_s: Time after which a leaving target gets nothing new.
       grace_s: Time from SIGTERM to SIGKILL.
       resend_ratio: Repeats allowed for each request of a service, over all
         daemons.
@@ -69,7 +67,6 @@
       resend_slack: Repeats allowed beside the ratio, over all daemons.
     """
 
-    drain_s: PositiveS = 2.0
     grace_s: PositiveS = 6.0
     resend_ratio: Ratio = 0.2
     resend_window_s: PositiveS = 10.0
@@ -179,3 +176,32 @@
         raise settings_lib.SettingsError(faults) from error
     except ValueError as error:
         raise settings_lib.SettingsError([f"{path}: {error}"]) from error
+
+
+class SettingsFile:
+    """A settings file that may change at any time."""
+
+    def __init__(self, path: pathlib.Path):
+        self._path = path
+        self._mtime_ns = self._modified_ns()
+
+    def has_changed(self) -> bool:
+        """Returns whether the file has changed since it was read."""
+        return self._modified_ns() != self._mtime_ns
+
+    def read(self) -> MeshSettings:
+        """Reads the file again.
+
+        Raises:
+          SettingsError: It cannot be read, or has faults.
+        """
+        self._mtime_ns = self._modified_ns()
+        return load(self._path)
+
+    def _modified_ns(self) -> int:
+        try:
+            return self._path.stat().st_mtime_ns
+        except OSError:
+            # The platform may be replacing the file; it is read when it is
+            # back, since its time then differs from 0.
+            return 0
--- a/mimosahaven/mesh/targetpool.py
+++ b/mimosahaven/mesh/targetpool.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import collections
+import functools
 
 import httptools
 
 from mimosahaven import clock
 from mimosahaven import codes
 from mimosahaven.mesh import answers
+from mimosahaven.mesh import flow
 from mimosahaven.mesh import http1
 
 Code = codes.Code
@@ -27,7 +29,6 @@
     Attributes:
       usable: Whether another request may be sent on it.
       idle_since_ms: End of the last exchange.
-      used: Whether it has carried a request before.
     """
 
     def __init__(self, attempt_header: bytes):
@@ -43,7 +44,6 @@
         self._reason = b""
         self._headers: http1.HeaderList = []
         self.usable = True
-        self.used = False
         self.idle_since_ms = 0.0
         self.idle_limit_ms = IDLE_DEFAULT_MS
 
@@ -52,14 +52,13 @@
     ) -> answers.AnswerStream:
         """Sends a request and returns its answer, which is still to come."""
         stream = answers.AnswerStream()
-        stream.on_pause = self._set_paused
+        stream.on_pause = functools.partial(flow.set_reading, self._transport)
         stream.on_abandon = self.close
         self._stream = stream
         self._attempt_id = attempt_id
         self._is_head = is_head
         self._done = False
         self._skip = False
-        self.used = True
         self._parser = httptools.HttpResponseParser(self)
         if self._transport is None or self._transport.is_closing():
             stream.fail(Code.TARGET_LOST)
@@ -128,14 +127,6 @@
             Code.ANSWER_TRUNCATED if self._stream.status else Code.TARGET_LOST
         )
 
-    def _set_paused(self, paused: bool) -> None:
-        if self._transport.is_closing():
-            return
-        if paused:
-            self._transport.pause_reading()
-        else:
-            self._transport.resume_reading()
-
     # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
