Log the id, the path and the table of a request that has no route

Cause: reading pass: a refused request was logged without its id, so that nobody could get from it to the cause. Change: the line has the id, host and path (cut at 100 bytes) and the version of the routes.

--- a/mimosahaven/mesh/origin.py
+++ b/mimosahaven/mesh/origin.py
@@ -19,6 +19,7 @@
 from mimosahaven.mesh import records
 from mimosahaven.mesh import replica as replica_lib
 from mimosahaven.mesh import resends
+from mimosahaven.mesh import routing
 from mimosahaven.mesh import runner as runner_lib
 from mimosahaven.mesh import settings as settings_lib
 from mimosahaven.mesh import treecosts
@@ -35,6 +36,8 @@
 # The last word on a run comes from the target's daemon shortly after the
 # deadline; past this time the caller is answered without it.
 LAST_WORD_MS = 200.0
+# A longer path is cut in the log.
+LOGGED_PATH_BYTES = 100
 # Sends of one request, refusals by daemons included.
 SENDS_MAX = 4
 # A repeat with less time than this left is not worth its cost.
@@ -137,7 +140,7 @@
             return self.refuse(Code.STARTING)
         trip = self._trip(request, index)
         if isinstance(trip, Code):
-            self._log.request("", "refused", trip, "")
+            self._log_refused(request, trip)
             return self.refuse(trip)
         self._budget.record_fresh(trip.service, request.read_ms)
         if trip.parent is None and self._sheds(trip):
@@ -153,7 +156,10 @@
             )
             return self.refuse(Code.TIMEOUT)
 
-    def _trip(self, request, index) -> Trip | Code:
+    def _trip(
+        self, request: callerserver.Request, index: routing.RouteIndex
+    ) -> Trip | Code:
+        """Returns the trip of a request, or why there is none."""
         headers = request.headers
         host = http1.header(headers, b"host") or b""
         route = index.match(
@@ -202,6 +208,17 @@
             trip.service, trip.route.name, trip.priority, False, now_ms
         )
 
+    def _log_refused(self, request: callerserver.Request, code: Code) -> None:
+        attempt_id = http1.header(request.headers, self._attempt_header) or b""
+        host = http1.header(request.headers, b"host") or b""
+        self._log.request(
+            attempt_id.decode("latin-1"),
+            "refused",
+            code,
+            f"{(host + request.path)[:LOGGED_PATH_BYTES].decode('latin-1')}, "
+            f"table {self._replica.table_version}",
+        )
+
     def _log_shed(self, trip: Trip) -> None:
         service, threshold, age_ms = self._thresholds.cause(
             trip.service, trip.route.name, trip.priority, trip.request.read_ms
