Let two tests fail without their mechanism, and trace a test that failed once

Cause: with the mechanisms of the mesh taken out one by one in a scratch copy, 18 of 20 tests failed; those of a leaving caller and of the route's time limit did not, as the request's own deadline ended the scene. Excluded for test_load: a fault of the generator. A stall of 60 ms put into the loop, with nothing else changed, gives the same message (2 of 3 seen): server and generator share a loop, and the send's 50 ms passed before the server read.

--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -209,13 +209,15 @@
 
     def test_a_caller_that_leaves_ends_the_work_at_the_target(self):
         async def scene():
+            # The request alone would last longer than the scene may.
+            routes = [samples.route(timeout_ms=60_000.0)]
             async with fleet_lib.Fleet(
-                ["ordre", "katalog"], [None, never]
+                ["ordre", "katalog"], [None, never], routes
             ) as fleet:
                 async with fleet.caller() as (_, writer):
-                    writer.write(fleet_lib.request())
+                    writer.write(fleet_lib.request(deadline_ms=60_000))
                     await fleet_lib.until(lambda: fleet.raw[1].requests)
-                await fleet_lib.until(lambda: fleet.raw[1].left_count == 1, 2.0)
+                await fleet_lib.until(lambda: fleet.raw[1].left_count == 1)
 
         self.play(scene)
 
@@ -225,8 +227,13 @@
             async with fleet_lib.Fleet(
                 ["ordre", "katalog"], [None, never], routes
             ) as fleet:
-                status, _, _ = await fleet.ask(deadline_ms=5000)
+                status, _, _ = await fleet.ask(deadline_ms=60_000)
                 self.assertEqual(504, status)
+                [(seen, _)] = fleet.raw[1].requests
+                self.assertThat(
+                    int(seen["mimosahaven-deadline-ms"]),
+                    matchers.LessThan(201),
+                )
 
         self.play(scene)
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -87,8 +87,10 @@
                 seen.setdefault(request, []).append(action[:1])
                 return None
 
+            # Server and generator share one loop: a stall of it that is longer
+            # than the timeout ends a send before the server has seen it.
             requests = self.send(
-                respond, timeout_ms=50, resends=2, same_action_share=share
+                respond, timeout_ms=1_000, resends=2, same_action_share=share
             )
             for request in requests:
                 sent = [i for ids in seen[request.id] for i in ids]
