Hold the ports of a run, and say in one line what cannot be listened on

Cause: the runner of the stand-ins let the kernel pick a port, released it and gave it to a program that bound it some hundred milliseconds later.

Excluded: ports outside the ephemeral range. Two runs on one machine would need addresses of their own.

Change: PortHold keeps each port bound by a socket that does not listen, for as long as the run goes on, restarts of programs included. A daemon that cannot open an address, in both modes, writes one line with code 9002 and exits with 4.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,6 +15,8 @@
 from mimosahaven import loadplan
 from mimosahaven.testing import deployments
 from mimosahaven.testing import experiment
+from mimosahaven.testing import placement
+from mimosahaven.testing import ports as ports_lib
 from mimosahaven.testing import processes
 from mimosahaven.testing import runner as runner_lib
 
@@ -49,7 +51,7 @@
     def __init__(self, *args, reading: frozenset[str], **options):
         super().__init__(*args, **options)
         self._reading = reading
-        self._closed_port = processes.free_ports(self._host, 1)[0]
+        self._closed_port = self._ports.take(self._host)[0]
 
     def _add_daemon(self, node, number):
         port = self._platform_port
@@ -187,7 +189,9 @@
     deployment = make_deployment(count)
     parts = frozenset({runner_lib.PLATFORM, runner_lib.DAEMONS})
     result: dict = {"daemons": count}
-    nodes = runner_lib.placement.place(deployment)
+    ports = ports_lib.PortHold()
+    nodes = placement.place(deployment, ports)
+    ports.release()
     domain = {n.name for n in nodes if n.failure_domain == "fd-1"}
     for name, reading in (
         ("one_domain_reads", domain),
--- a/mimosahaven/cli_common.py
+++ b/mimosahaven/cli_common.py
@@ -10,6 +10,7 @@
 import mimosahaven
 from mimosahaven import daemonclient
 from mimosahaven import errors
+from mimosahaven import listening
 
 
 class ExitCode(enum.IntEnum):
@@ -19,6 +20,7 @@
     CHECK_FAILED = 1
     USAGE = 2
     UNREACHABLE = 3
+    CANNOT_LISTEN = listening.EXIT_CANNOT_LISTEN
 
 
 class ProgramError(click.ClickException):
--- a/mimosahaven/cli_daemon.py
+++ b/mimosahaven/cli_daemon.py
@@ -8,6 +8,7 @@
 
 import mimosahaven
 from mimosahaven import daemon as daemon_lib
+from mimosahaven import listening
 from mimosahaven import settings as settings_lib
 
 EXIT_CHECK_FAILED = 1
@@ -42,7 +43,11 @@
     if check:
         click.echo(settings.model_dump_json(indent=2))
         return
-    asyncio.run(daemon_lib.Daemon(settings).run())
+    try:
+        asyncio.run(daemon_lib.Daemon(settings).run())
+    except listening.ListenError as error:
+        click.echo(f"mimosahaven-daemon: {error}", err=True)
+        sys.exit(listening.EXIT_CANNOT_LISTEN)
 
 
 if __name__ == "__main__":
--- a/mimosahaven/codes.py
+++ b/mimosahaven/codes.py
@@ -65,6 +65,7 @@
     LIST_INVALID = 5005
 
     INTERNAL = 9001
+    CANNOT_LISTEN = 9002
 
 
 @dataclasses.dataclass(frozen=True)
@@ -181,6 +182,7 @@
     ),
     Code.LIST_INVALID: _refusal(500, "The list of VMs is invalid."),
     Code.INTERNAL: _unknown(500, "An internal error."),
+    Code.CANNOT_LISTEN: _refusal(500, "An address cannot be listened on."),
 }
 
 
--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -25,6 +25,7 @@
 from mimosahaven import inbox as inbox_lib
 from mimosahaven import lifecycle as lifecycle_lib
 from mimosahaven import links as links_lib
+from mimosahaven import listening
 from mimosahaven import membership as membership_lib
 from mimosahaven import metrics as metrics_lib
 from mimosahaven import ownerlink
@@ -176,7 +177,13 @@
         inbox.on_event = self.observe
 
     async def start(self) -> None:
-        """Opens all sockets and starts the timers."""
+        """Opens all sockets and starts the timers.
+
+        Raises:
+          ListenError: An address cannot be listened on.
+        """
+        endpoint = self.settings.entry
+        listener = listening.bind(endpoint.host, endpoint.port)
         await self.client.start()
         self.hub.start()
         await self.membership.start()
@@ -193,14 +200,13 @@
                 ),
             ],
         )
-        endpoint = self.settings.entry
         self._server = httpserver.make_server(
             app,
             endpoint.host,
             endpoint.port,
             entry.make_protocol(self.dispatcher),
         )
-        self._server_task = self.tasks.spawn(self._server.serve())
+        self._server_task = self.tasks.spawn(self._server.serve([listener]))
         self.tasks.spawn(self._tick_forever())
 
     async def run(self) -> None:
--- a/mimosahaven/links.py
+++ b/mimosahaven/links.py
@@ -12,6 +12,7 @@
 from mimosahaven import clock
 from mimosahaven import clockskew
 from mimosahaven import errors
+from mimosahaven import listening
 from mimosahaven import messages
 from mimosahaven import settings as settings_lib
 
@@ -181,7 +182,7 @@
         """Binds the socket that peers connect to.
 
         Raises:
-          zmq.ZMQError: The address cannot be bound.
+          ListenError: The address cannot be bound.
         """
         socket = self.context.socket(zmq.ROUTER)
         socket.setsockopt(zmq.LINGER, 0)
@@ -191,7 +192,13 @@
         )
         socket.setsockopt(zmq.RCVHWM, self.settings.links.high_water_messages)
         link = self.settings.link
-        socket.bind(f"tcp://{link.host}:{link.port}")
+        try:
+            socket.bind(f"tcp://{link.host}:{link.port}")
+        except zmq.ZMQError as error:
+            socket.close()
+            raise listening.ListenError(
+                link.host, link.port, error.errno
+            ) from error
         self._server = channel_lib.Channel(
             socket, self._on_frames, self.traffic
         )
--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -10,6 +10,7 @@
 from mimosahaven import codes
 from mimosahaven import collector
 from mimosahaven import decisions
+from mimosahaven import listening
 from mimosahaven import pause as pause_lib
 from mimosahaven import settings as settings_base
 from mimosahaven import shedding
@@ -228,7 +229,11 @@
         self.log.event("settings read", str(bounds))
 
     async def start(self) -> None:
-        """Opens all sockets and starts the timers."""
+        """Opens all sockets and starts the timers.
+
+        Raises:
+          ListenError: An address cannot be listened on.
+        """
         await self._listen()
         self.log.event("started", f"{self.settings.service}")
         self.tasks.spawn(self.replica.follow_store())
@@ -273,8 +278,7 @@
             self._servers.append(
                 await loop.create_server(
                     factory,
-                    address.host,
-                    address.port,
+                    sock=listening.bind(address.host, address.port),
                     backlog=LISTEN_BACKLOG,
                 )
             )
--- a/mimosahaven/testing/placement.py
+++ b/mimosahaven/testing/placement.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from mimosahaven.testing import deployments
-from mimosahaven.testing import processes
+from mimosahaven.testing import ports as ports_lib
 
 SEEDS = 3
 
@@ -36,8 +36,10 @@
         return f"http://{self.host}:{self.entry_port}"
 
 
-def place(deployment: deployments.Deployment) -> list[Node]:
-    """Spreads the targets over the failure domains and picks their ports."""
+def place(
+    deployment: deployments.Deployment, ports: ports_lib.PortHold
+) -> list[Node]:
+    """Spreads the targets over the failure domains and takes their ports."""
     nodes = []
     for service in deployment.services:
         for index in range(service.targets):
@@ -49,7 +51,7 @@
                     service,
                     deployment.failure_domains[domain],
                     host,
-                    *processes.free_ports(host, 3),
+                    *ports.take(host, 3),
                 )
             )
     return nodes
--- a/mimosahaven/testing/platform.py
+++ b/mimosahaven/testing/platform.py
@@ -13,6 +13,8 @@
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 
+from mimosahaven import listening
+
 TABLE = "table"
 LIST = "vms"
 DOCUMENT_BYTES_MAX = 1_048_576
@@ -286,11 +288,7 @@
 
     Example: python -m mimosahaven.testing.platform --port 7000
     """
-    # asyncio turns off the Nagle algorithm only for sockets that name TCP;
-    # with it, each answer waits 40 ms for a delayed acknowledgement.
-    listener = socket.socket(proto=socket.IPPROTO_TCP)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
+    listener = listening.bind(host, port)
     listener.listen(1024)
     print("{}:{}".format(*listener.getsockname()), flush=True)
     asyncio.run(serve(listener))
--- a/mimosahaven/testing/processes.py
+++ b/mimosahaven/testing/processes.py
@@ -6,7 +6,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 
@@ -24,18 +23,6 @@
     """A process under test did not do what was asked."""
 
 
-def free_ports(host: str, count: int) -> list[int]:
-    """Returns free ports of an address, as the kernel picks them."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind((host, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
-
-
 async def wait_for(
     condition: collections.abc.Callable[[], collections.abc.Awaitable],
     limit_s: float = START_LIMIT_S,
--- a/mimosahaven/testing/runner.py
+++ b/mimosahaven/testing/runner.py
@@ -13,6 +13,7 @@
 from mimosahaven.testing import deployments
 from mimosahaven.testing import forwarder
 from mimosahaven.testing import placement
+from mimosahaven.testing import ports as ports_lib
 from mimosahaven.testing import processes
 from mimosahaven.testing import runs as runs_lib
 
@@ -60,7 +61,8 @@
           forwarded: Targets whose daemons are linked to through a forwarder.
         """
         self.deployment = deployment.for_variant(variant)
-        self.nodes = placement.place(deployment)
+        self._ports = ports_lib.PortHold()
+        self.nodes = placement.place(deployment, self._ports)
         self.session: aiohttp.ClientSession | None = None
         self._settings = placement.merged(
             deployments.VARIANTS[variant], settings or {}
@@ -69,7 +71,7 @@
         self._seed = seed
         self._cold_start_ms = cold_start_ms
         self._host = f"{deployment.address_prefix}.100"
-        self._platform_port = processes.free_ports(self._host, 1)[0]
+        self._platform_port = self._ports.take(self._host)[0]
         self._temporary = None
         if directory is None:
             self._temporary = tempfile.TemporaryDirectory(prefix="mimosahaven-")
@@ -306,6 +308,7 @@
             await between.stop()
         if self.session is not None:
             await self.session.close()
+        self._ports.release()
         if self._temporary is not None:
             self._temporary.cleanup()
         errors = [r for r in results if isinstance(r, Exception)]
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,13 +8,14 @@
 from mimosahaven import links
 from mimosahaven import messages
 from mimosahaven import settings as settings_lib
+from mimosahaven.testing import ports as ports_lib
 from mimosahaven.testing import processes
 
 HOST = "127.0.0.1"
 
 
-def make_hub(name):
-    entry, link = processes.free_ports(HOST, 2)
+def make_hub(name, ports):
+    entry, link = ports.take(HOST, 2)
     settings = settings_lib.Settings(
         target=settings_lib.TargetSettings(
             name=name,
@@ -30,7 +31,8 @@
 
 @contextlib.asynccontextmanager
 async def two_hubs():
-    near, far = make_hub("ordre-1"), make_hub("ordre-2")
+    ports = ports_lib.PortHold()
+    near, far = make_hub("ordre-1", ports), make_hub("ordre-2", ports)
     near.start()
     far.start()
     try:
@@ -38,6 +40,7 @@
     finally:
         near.stop()
         far.stop()
+        ports.release()
 
 
 async def linked(near, far):
@@ -98,9 +101,11 @@
         """A target that left the list must not be connected to for ever."""
 
         async def run():
-            near = make_hub("ordre-1")
+            ports = ports_lib.PortHold()
+            self.addCleanup(ports.release)
+            near = make_hub("ordre-1", ports)
             near.start()
-            port = processes.free_ports(HOST, 1)[0]
+            (port,) = ports.take(HOST)
             link = near.link_to("ordre-2", HOST, port)
             # In the past, so that a link that takes its creation for a use
             # is not unused long enough at the last tick.
