Learn from calls that fail which services a kind needs

An origin learnt which services a kind uses from answers with success only. No browsing request succeeded any more, so that from 40 to 50 s none was shed at its origin for the deep service (0 of such lines in the logs, 410 a second before and after); some 270 a second were let in, ran at two services and failed at the third. Overload outlasted its cause by 12 s.

Excluded: lost thresholds (kinds that still had successes were shed for the same service in the same seconds), capacity alone (one target of three was left for the deep service before and after the cut).

Change: a call of a running request notes the service that it needs before it is made. An answer that is no success adds the services which it needed; it takes none back, since it may have ended before it came to them.

Tests of both parts fail before the change.

--- a/mimosahaven/mesh/inflight.py
+++ b/mimosahaven/mesh/inflight.py
@@ -17,7 +17,8 @@
       root_ms: When the root request began, on the clock of this daemon.
       deadline_ms: Deadline on the clock of this daemon.
       repeat: Whether it, or the request it serves, was sent before.
-      tree: Runs at each service that its calls have taken so far.
+      tree: Runs at each service that its calls have taken so far; 0 at a
+        service that was called and has not run one yet.
     """
 
     attempt_id: str
@@ -27,6 +28,10 @@
     repeat: bool
     tree: dict[str, float] = dataclasses.field(default_factory=dict)
 
+    def add_need(self, service: str) -> None:
+        """Notes that a call to a service is made, whatever comes of it."""
+        self.tree.setdefault(service, 0.0)
+
     def add_tree(self, tree: dict[str, float]) -> None:
         """Adds the runs that one call has taken."""
         for service, runs in tree.items():
--- a/mimosahaven/mesh/origin.py
+++ b/mimosahaven/mesh/origin.py
@@ -191,6 +191,8 @@
             root_ms = parent.root_ms
             deadline_ms = min(deadline_ms, parent.deadline_ms)
         service = index.choose_service(route)
+        if parent is not None:
+            parent.add_need(service)
         return Trip(
             request,
             attempt_id,
@@ -367,10 +369,11 @@
             self._costs.learn(trip.route.name, trip.service, stream.tree)
         if trip.parent is not None:
             trip.parent.add_tree(stream.tree)
-        elif stream.status < 300:
-            self._thresholds.learn_use(
-                trip.service, trip.route.name, stream.tree
-            )
+        else:
+            learn = self._thresholds.learn_need
+            if stream.status < 300:
+                learn = self._thresholds.learn_use
+            learn(trip.service, trip.route.name, stream.tree)
         self._log.answer(
             trip.attempt_id,
             trip.route.name,
--- a/mimosahaven/shedding.py
+++ b/mimosahaven/shedding.py
@@ -213,6 +213,26 @@
         if weight == USED_SMOOTHING:
             pair.shares = {s: v for s, v in pair.shares.items() if v > 0.01}
 
+    def learn_need(
+        self, first_service: str, kind: str, services: Iterable[str]
+    ) -> None:
+        """Takes in which services a call needed that has failed.
+
+        It may have ended before it came to others, so that nothing is learnt
+        of those. Without this, a daemon that starts under overload lets in
+        what fails below for as long as nothing of that kind succeeds.
+
+        Args:
+          first_service: Service that the entry called.
+          kind: Kind of the request.
+          services: Services that were called, whatever came of it.
+        """
+        pair = self._pair(first_service, kind)
+        weight = max(USED_SMOOTHING, 1 / (pair.calls + 1))
+        for service in services:
+            share = pair.shares.get(service, 0.0)
+            pair.shares[service] = share + weight * (1.0 - share)
+
     def services(self, first_service: str, kind: str) -> list[str]:
         """Returns the services that calls of a pair use, the first included."""
         pair = self._pairs.get((first_service, kind))
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -322,6 +322,54 @@
 
         self.play(scene)
 
+    def test_a_kind_that_never_succeeded_is_shed_for_a_service_below(self):
+        # Daemons that start under overload know nothing; without this they
+        # let in whatever fails below.
+        send_count = 10
+
+        async def failing(head, body, writer, number):
+            reader, out = await asyncio.open_connection(
+                fleet_holder[0].hosts[0], fleet_lib.CALLERS_PORT
+            )
+            out.write(
+                fleet_lib.request(
+                    attempt=head["mimosahaven-attempt"] + ".c1", path="/y/"
+                )
+            )
+            await fleet_lib.read_answer(reader)
+            out.close()
+            writer.write(
+                b"HTTP/1.1 500 Error\r\nMimosahaven-Attempt: %b\r\n"
+                b"Content-Length: 0\r\n\r\n" % attempt_of(head)
+            )
+
+        fleet_holder = []
+
+        async def scene():
+            routes = [
+                samples.route(),
+                samples.route(
+                    "y",
+                    prefix="/y/",
+                    rank=0,
+                    shares=(records.Share("presse", 1.0),),
+                ),
+            ]
+            async with fleet_lib.Fleet(["katalog"], [failing], routes) as fleet:
+                fleet_holder.append(fleet)
+                answers = [
+                    await fleet.ask(attempt=f"r{n}") for n in range(send_count)
+                ]
+                statuses = [status for status, _, _ in answers]
+                self.assertEqual(500, statuses[0])
+                # One in 50 is let through as a probe.
+                self.assertThat(
+                    len(fleet.raw[0].requests), matchers.LessThan(3)
+                )
+                self.assertEqual([503] * (send_count - 2), statuses[2:])
+
+        self.play(scene)
+
     def test_a_daemon_that_the_store_turns_away_learns_from_peers(self):
         async def scene():
             async with fleet_lib.Fleet(["ordre", "katalog"]) as fleet:
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -129,6 +129,21 @@
             thresholds.learn_use("katalog", "print", [])
         self.assertEqual(self.shed_count(thresholds, "print", "katalog"), 0)
 
+    def test_calls_that_fail_show_which_services_they_need(self):
+        # All daemons start empty while a deep service is full: no call of
+        # the kind succeeds before some of them are shed at the entry.
+        thresholds = self.make()
+        thresholds.learn_need("katalog", "print", ["proof", "ordre"])
+        self.assertEqual(self.shed_count(thresholds, "print", "katalog"), 980)
+
+    def test_a_call_that_fails_early_takes_nothing_back(self):
+        thresholds = self.make()
+        for _ in range(20):
+            thresholds.learn_use("katalog", "print", ["proof", "ordre"])
+        for _ in range(100):
+            thresholds.learn_need("katalog", "print", ["proof"])
+        self.assertEqual(self.shed_count(thresholds, "print", "katalog"), 980)
+
     def test_pairs_are_bounded(self):
         # Kinds come from callers and must not fill the memory.
         thresholds = self.make()
