Let runs go on at a target that refuses connections

At 25.32 s a leaving target refused a connection; its daemon took it for dead and closed the connections of all its runs that may be repeated, 40 and more at once (TARGET_LOST in the logs of three origins in the same 5 ms).

Excluded: the stop of the origin, which was in its drain (its own limit was two seconds away and both requests were counted as work), and the target itself (it had answered until 3 ms before).

Change: the daemon distinguishes a refused connection from one without an answer.

Before, after: the test of a target that stops listening fails, passes; so does a test that runs at a silent target still end.

--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -180,10 +180,11 @@
         streaming = False
         connection = None
         try:
-            connection = await self.pool.acquire(started_ms)
-            if connection is None:
+            acquired = await self.pool.acquire(started_ms)
+            if isinstance(acquired, targetpool.ConnectFault):
                 self._begin_probe()
                 return outcomes.Refused(Code.TARGET_DOWN)
+            connection = acquired
             now_ms = clock.monotonic_ms()
             if send.deadline_ms <= now_ms:
                 return outcomes.Refused(Code.DEADLINE_BEFORE_RUN)
@@ -240,14 +241,24 @@
             self._tasks.spawn(self._probe())
 
     async def _probe(self) -> None:
-        """Opens connections until one succeeds; meanwhile nothing is sent."""
+        """Opens connections until one succeeds; meanwhile nothing is sent.
+
+        A target that refuses connections may be leaving, or be full, and still
+        be at work on what it has. Its process is gone only when it breaks off
+        the connections that are open. One that is silent does not, so that its
+        runs are ended here.
+        """
         try:
-            while (connection := await self.pool.open()) is None:
-                if not self.health.down:
-                    self.health.down = True
+            while True:
+                opened = await self.pool.open()
+                if isinstance(opened, targetpool.TargetConnection):
+                    break
+                self.health.down = True
+                silent = opened is targetpool.ConnectFault.SILENT
+                if silent and self.health.is_silent(clock.monotonic_ms()):
                     self._fail_repeatable()
                 await asyncio.sleep(PROBE_PAUSE_S)
-            self.pool.release(connection)
+            self.pool.release(opened)
         finally:
             self.health.recovered(clock.monotonic_ms())
 
--- a/mimosahaven/mesh/targethealth.py
+++ b/mimosahaven/mesh/targethealth.py
@@ -35,6 +35,10 @@
         self.down = self.probing = False
         self._heard_ms = now_ms
 
+    def is_silent(self, now_ms: float) -> bool:
+        """Returns whether nothing was heard for longer than usual."""
+        return now_ms - self._heard_ms > SILENCE_MS
+
     def is_suspect(self, run_count: int, now_ms: float) -> bool:
         """Returns whether a connection has to be tried.
 
@@ -48,4 +52,4 @@
             # Silence counts from when there is something to answer.
             self._heard_ms = now_ms
             return False
-        return now_ms - self._heard_ms > SILENCE_MS
+        return self.is_silent(now_ms)
--- a/mimosahaven/mesh/targetpool.py
+++ b/mimosahaven/mesh/targetpool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import enum
 import functools
 
 import httptools
@@ -23,6 +24,13 @@
 IDLE_DEFAULT_MS = 4_000.0
 
 
+class ConnectFault(enum.Enum):
+    """Why no connection could be opened."""
+
+    REFUSED = "refused"
+    SILENT = "no answer"
+
+
 class TargetConnection(asyncio.Protocol):
     """One connection; it carries one request at a time.
 
@@ -218,8 +226,8 @@
         self._idle: collections.deque[TargetConnection] = collections.deque()
         self.opened_count = 0
 
-    async def acquire(self, now_ms: float) -> TargetConnection | None:
-        """Returns a connection, or None when none can be opened.
+    async def acquire(self, now_ms: float) -> TargetConnection | ConnectFault:
+        """Returns a connection, or why none can be opened.
 
         The one used last is taken first, so that those that are not needed
         age and close.
@@ -232,8 +240,8 @@
             connection.close()
         return await self.open()
 
-    async def open(self) -> TargetConnection | None:
-        """Opens a connection; returns None when the target accepts none."""
+    async def open(self) -> TargetConnection | ConnectFault:
+        """Opens a connection, or returns why the target accepts none."""
         loop = asyncio.get_running_loop()
         self.opened_count += 1
         try:
@@ -243,8 +251,10 @@
                     self._host,
                     self._port,
                 )
-        except (OSError, TimeoutError):
-            return None
+        except TimeoutError:
+            return ConnectFault.SILENT
+        except OSError:
+            return ConnectFault.REFUSED
         return connection
 
     def release(self, connection: TargetConnection) -> None:
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -12,6 +12,8 @@
 from mimosahaven.mesh import records
 from mimosahaven.mesh import replica
 from mimosahaven.mesh import settings as settings_lib
+from mimosahaven.mesh import targethealth
+from mimosahaven.mesh import targetpool
 from tests.mesh import fleet as fleet_lib
 from tests.mesh import rawtarget
 from tests.mesh import samples
@@ -407,6 +409,46 @@
 
         self.play(scene)
 
+    def test_runs_go_on_at_a_target_that_refuses_connections(self):
+        # It may be leaving, or have too many of them.
+        async def slow(head, body, writer, number):
+            await asyncio.sleep(0.5)
+            writer.write(ok(attempt_of(head)))
+
+        async def scene():
+            async with fleet_lib.Fleet(["katalog"], [slow]) as fleet:
+                first = asyncio.ensure_future(fleet.ask())
+                await fleet_lib.until(lambda: fleet.raw[0].requests)
+                fleet.raw[0].close()
+                second = await fleet.ask(attempt="r2")
+                self.assertEqual(503, second[0])
+                self.assertEqual(200, (await first)[0])
+
+        self.play(scene)
+
+    def test_runs_at_a_silent_target_end_soon(self):
+        async def scene():
+            async with fleet_lib.Fleet(["katalog"], [never]) as fleet:
+                runner = fleet.daemons[0].runner
+                asked = [
+                    asyncio.ensure_future(
+                        fleet.ask(attempt=f"r{n}", deadline_ms=9_000)
+                    )
+                    for n in range(targethealth.SILENT_RUNS_MIN)
+                ]
+                await fleet_lib.until(
+                    lambda: len(fleet.raw[0].requests) == len(asked)
+                )
+
+                async def no_answer():
+                    return targetpool.ConnectFault.SILENT
+
+                runner.pool.open = no_answer
+                answers = await asyncio.gather(*asked)
+                self.assertEqual([502] * len(asked), [a[0] for a in answers])
+
+        self.play(scene)
+
     def test_after_a_pause_the_backlog_is_refused_as_not_run(self):
         async def scene():
             async with fleet_lib.Fleet(["katalog"]) as fleet:
