Refuse what comes long after SIGTERM

Requests were taken from 2.3 s after SIGTERM on, when the process already waits for its work to end, and were cut as it ended.

Excluded: a kill at the end of the grace time; the processes ended by themselves 3.0 to 3.3 s after SIGTERM, of 6 allowed.

Change: from 2.3 s on, requests are refused as not run (code 2007, closed after the answer); calls of requests in flight are still served.

The test fails before the change.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -296,6 +296,7 @@
             since_ms = now_ms - self._term_ms
             if since_ms > SERVE_AFTER_TERM_MS:
                 self.runner.refuse_code = Code.LEAVING
+                self.origin.leaving = True
                 for connection in list(self._callers):
                     connection.close_if_idle()
                 quiet = now_ms - self._active_ms > QUIET_MS
--- a/mimosahaven/mesh/origin.py
+++ b/mimosahaven/mesh/origin.py
@@ -105,6 +105,8 @@
         self._legs = 0
         self._lost_since_ms: dict[str, float] = {}
         self.refuse_code: Code | None = Code.STARTING
+        # New requests are refused; calls of those in flight are not.
+        self.leaving = False
         self.in_flight_count = 0
 
     async def handle(self, request: callerserver.Request) -> Reply:
@@ -142,6 +144,9 @@
         if isinstance(trip, Code):
             self._log_refused(request, trip)
             return self.refuse(trip)
+        if trip.parent is None and self.leaving:
+            self._log_refused(request, Code.LEAVING)
+            return self.refuse(Code.LEAVING)
         self._budget.record_fresh(trip.service, request.read_ms)
         if trip.parent is None and self._sheds(trip):
             self._log_shed(trip)
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -409,6 +409,31 @@
 
         self.play(scene)
 
+    def test_what_comes_long_after_a_stop_is_refused_as_not_run(self):
+        # It could not end before the process does.
+        async def slow(head, body, writer, number):
+            await asyncio.sleep(5)
+
+        async def scene():
+            async with fleet_lib.Fleet(["katalog"] * 2, [slow] * 2) as fleet:
+                daemon = fleet.daemons[0]
+
+                def arrived():
+                    return sum(len(raw.requests) for raw in fleet.raw)
+
+                kept = asyncio.ensure_future(fleet.ask(deadline_ms=9_000))
+                await fleet_lib.until(arrived)
+                draining = asyncio.ensure_future(daemon.drain())
+                await fleet_lib.until(lambda: daemon.runner.refuse_code)
+                status, head, _ = await fleet.ask(attempt="r2")
+                self.assertEqual((503, "close"), (status, head["connection"]))
+                self.assertEqual("2007", head["mimosahaven-code"])
+                self.assertEqual(1, arrived())
+                kept.cancel()
+                draining.cancel()
+
+        self.play(scene)
+
     def test_runs_go_on_at_a_target_that_refuses_connections(self):
         # It may be leaving, or have too many of them.
         async def slow(head, body, writer, number):
