Probe a store that is away, and refuse runs for a target that has left

A watch that was sent before the return is never answered and holds its daemon for its wait and the timeout, up to 4 s. A target leaves at 26.9 s; an origin that is behind still sends to it, and the target's own daemon, which knows, passed it on.

Excluded: sends of a daemon that has read of the leaving itself (its directory drops the target at once, tested).

Change: while the store is away it is asked with no wait, so that any answer tells of its return. The daemon beside a target that left the list, or drains, refuses runs from 1.5 s after it has learnt so.

Tests of both fail before the change.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -16,6 +16,7 @@
 from mimosahaven import shedding
 from mimosahaven import tasks as tasks_lib
 from mimosahaven.mesh import callerserver
+from mimosahaven.mesh import departure as departure_lib
 from mimosahaven.mesh import eventlog
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import gate as gate_lib
@@ -65,6 +66,7 @@
         )
         now_ms = clock.monotonic_ms()
         self.pause = pause_lib.PauseDetector(settings)
+        self.departure = departure_lib.Departure()
         self.gate = gate_lib.Gate(settings.slots_default, now_ms)
         self.in_flight = inflight_lib.InFlight()
         self.runner = runner_lib.Runner(
@@ -173,6 +175,8 @@
         self._observe(now_ms)
         if self.pause.refuses_new(now_ms):
             return Code.STALE_AFTER_PAUSE
+        if self.departure.refuses(now_ms):
+            return Code.LEAVING
         return None
 
     def state_beyond(self, request: frames.Fetch) -> frames.State:
@@ -344,6 +348,10 @@
         own = directory.at_address(
             self.settings.target.host, self.settings.target.port
         )
+        self.departure.observe(
+            own is not None and own.state == records.SERVING_STATE,
+            clock.monotonic_ms(),
+        )
         if own is not None and own.slots != self.gate.slots:
             self.gate.set_slots(own.slots)
         self._check_start()
--- a/mimosahaven/mesh/replica.py
+++ b/mimosahaven/mesh/replica.py
@@ -149,6 +149,10 @@
         same moment, and with equal waits they would also end together.
         """
         limits = self._limits
+        if self._failing:
+            # An answer at once tells that the store is back. A watch that it
+            # does not answer would hide its return until the end of the wait.
+            return 0.0
         daemons = max(1, len(self.directory.hosts()))
         mean_ms = daemons / limits.watches_per_s * 1000
         mean_ms = min(limits.watch_max_ms, max(limits.watch_min_ms, mean_ms))
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -434,6 +434,17 @@
 
         self.play(scene)
 
+    def test_a_target_that_has_left_gets_nothing_from_origins_behind(self):
+        async def scene():
+            async with fleet_lib.Fleet(["ordre", "katalog"]) as fleet:
+                away = fleet.daemons[1].departure
+                away.observe(False, clock.monotonic_ms() - 2_000)
+                status, _, _ = await fleet.ask()
+                self.assertEqual(503, status)
+                self.assertEqual([], fleet.raw[1].requests)
+
+        self.play(scene)
+
     def test_runs_go_on_at_a_target_that_refuses_connections(self):
         # It may be leaving, or have too many of them.
         async def slow(head, body, writer, number):
--- a/tests/mesh/test_replica.py
+++ b/tests/mesh/test_replica.py
@@ -70,6 +70,12 @@
             bound_ms = 1_500.0 if count == 13 else 5_000.0
             self.assertTrue(worst_ms < bound_ms, (count, worst_ms))
 
+    def test_while_the_store_is_away_its_return_is_asked_for(self):
+        replica = make()
+        fill(replica, 13)
+        replica._note_failure(replica_lib.FeedError("no answer"))
+        self.assertEqual(0.0, replica.watch_wait_ms())
+
     def test_calls_of_the_fleet_do_not_grow_with_it(self):
         rates = []
         for count in (13, 90):
