--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -167,6 +167,7 @@
             thresholds,
             self.replica.table_version,
             self.replica.directory.revision,
+            self.runner.refused.value(now_ms),
         )
 
     def refuse_run(self) -> Code | None:
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -14,6 +14,7 @@
 from mimosahaven.mesh import http1
 from mimosahaven.mesh import inflight as inflight_lib
 from mimosahaven.mesh import outcomes
+from mimosahaven.mesh import refusals
 from mimosahaven.mesh import settings as settings_lib
 from mimosahaven.mesh import targethealth
 from mimosahaven.mesh import targetpool
@@ -81,6 +82,7 @@
             collections.OrderedDict()
         )
         self._tasks = tasks
+        self.refused = refusals.RefusedShare()
         self.health = targethealth.TargetHealth(now_ms)
         self.refuse_code: Code | None = Code.STARTING
 
@@ -202,8 +204,11 @@
             except TimeoutError:
                 service_ms = clock.monotonic_ms() - started_ms
                 return outcomes.Failed(Code.TIMEOUT)
-            self.health.heard(clock.monotonic_ms())
+            now_ms = clock.monotonic_ms()
+            self.health.heard(now_ms)
             outcome = self._judge(stream)
+            refused = isinstance(outcome, outcomes.Refused)
+            self.refused.learn(refused, now_ms)
             if isinstance(outcome, outcomes.Answered):
                 service_ms = clock.monotonic_ms() - started_ms
                 stream.tree = {self._settings.service: 1.0}
