--- a/mimosahaven/mesh/origin.py
+++ b/mimosahaven/mesh/origin.py
@@ -240,8 +240,7 @@
 
     async def _send_until_settled(self, trip: Trip) -> Reply:
         tried: set[str] = set()
-        # Targets that got it, and those of them that may have run it.
-        arrived_count = run_count = 0
+        arrived_count = 0
         code = Code.NO_TARGET
         unknown = False
         for _ in range(SENDS_MAX):
@@ -249,7 +248,7 @@
             left_ms = trip.deadline_ms - now_ms
             if tried and left_ms < REPEAT_LEFT_MIN_MS:
                 break
-            if run_count >= trip.route.targets_max:
+            if arrived_count >= trip.route.targets_max:
                 break
             candidates = self._replica.directory.serving(trip.service)
             target = self._placement.choose(candidates, tried, now_ms)
@@ -267,7 +266,6 @@
             code = outcome.code
             if isinstance(outcome, outcomes.Failed):
                 arrived_count += 1
-                run_count += 1
                 unknown = True
                 if trip.route.once or code is Code.TIMEOUT:
                     break
--- a/mimosahaven/mesh/records.py
+++ b/mimosahaven/mesh/records.py
@@ -39,7 +39,7 @@
       timeout_ms: Longest time that a caller waits.
       objective_ms: Time within which an answer earns its full credit.
       rank: Importance; 0 is the highest.
-      targets_max: Targets that may run one request.
+      targets_max: Targets to which one request may be sent.
       shares: Services that run the requests.
     """
 
--- a/mimosahaven/mesh/resends.py
+++ b/mimosahaven/mesh/resends.py
@@ -13,10 +13,6 @@
 # Part of that which less important requests may use.
 ORDINARY_SHARE = 0.6
 _STEPS = 10
-# The platform counts the requests of the window that has most, among the last
-# one and those half a window and a window before it. Not all daemons saw most
-# requests in the same one, so that a part of this is left.
-EARLIER_SHARE = 0.75
 
 
 class _Steps:
@@ -30,27 +26,13 @@
         index = now_ms // self._step_ms
         if not self._steps or self._steps[-1][0] != index:
             self._steps.append([index, 0.0])
-            while self._steps[0][0] <= index - 2 * _STEPS:
-                self._steps.popleft()
         self._steps[-1][1] += amount
 
     def total(self, now_ms: float, extra_steps: int) -> float:
-        """Returns the sum of the last window, and of some steps before it."""
-        last = now_ms // self._step_ms
-        return self._sum(last - _STEPS + 1 - extra_steps, last)
-
-    def earlier(self, now_ms: float) -> float:
-        """Returns the larger sum of half a window and a window before."""
-        last = now_ms // self._step_ms
-        return max(
-            self._sum(last - back - _STEPS + 1, last - back)
-            for back in (_STEPS // 2, _STEPS)
-        )
-
-    def _sum(self, first: float, last: float) -> float:
-        return sum(
-            amount for index, amount in self._steps if first <= index <= last
-        )
+        first = now_ms // self._step_ms - _STEPS + 1 - extra_steps
+        while self._steps and self._steps[0][0] < first:
+            self._steps.popleft()
+        return sum(amount for _, amount in self._steps)
 
 
 class ResendBudget:
@@ -98,10 +80,7 @@
         """
         share = USED_SHARE if important else USED_SHARE * ORDINARY_SHARE
         for service, amount in runs.items():
-            steps = self._of(self._fresh, service)
-            fresh = max(
-                steps.total(now_ms, 0), EARLIER_SHARE * steps.earlier(now_ms)
-            )
+            fresh = self._of(self._fresh, service).total(now_ms, 0)
             # One more step makes up for the part of the oldest one.
             used = self._of(self._repeats, service).total(now_ms, 1)
             allowed = self._ratio * fresh + self._slack / self.daemon_count
