--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -167,7 +167,6 @@
             thresholds,
             self.replica.table_version,
             self.replica.directory.revision,
-            self.runner.refused.value(now_ms),
         )
 
     def refuse_run(self) -> Code | None:
--- a/mimosahaven/mesh/frames.py
+++ b/mimosahaven/mesh/frames.py
@@ -41,7 +41,6 @@
       thresholds: Thresholds of other services above 0, with their ages in ms.
       table_version: Version of the routes in force.
       list_revision: Revision of the list of targets.
-      refused_share: Share of its recent runs that the target has refused.
     """
 
     running: int
@@ -52,7 +51,6 @@
     thresholds: dict[str, tuple[int, float]]
     table_version: int
     list_revision: int
-    refused_share: float = 0.0
 
 
 class _Frame(msgspec.Struct, array_like=True, tag=True):
--- a/mimosahaven/mesh/placement.py
+++ b/mimosahaven/mesh/placement.py
@@ -12,7 +12,6 @@
 
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import records
-from mimosahaven.mesh import refusals
 
 # Bytes between failure domains are dear, and the way there takes longer.
 REMOTE_PENALTY_MS = 6.0
@@ -121,10 +120,9 @@
         """Returns the shed threshold of a service.
 
         A service is overloaded when all of its targets are: as long as one
-        has room, work moves there. Targets that turn much of their work away
-        count only when all do. Without a recent report there is none.
+        has room, work moves there. Without a recent report there is none.
         """
-        lowest, lowest_refusing = None, None
+        lowest = None
         for target in candidates:
             state = self.state(target)
             load = state.load
@@ -132,12 +130,9 @@
                 continue
             if load.limit == 0 or now_ms - state.load_ms > THRESHOLD_KEEP_MS:
                 continue
-            if load.refused_share >= refusals.MANY_SHARE:
-                if lowest_refusing is None or load.threshold < lowest_refusing:
-                    lowest_refusing = load.threshold
-            elif lowest is None or load.threshold < lowest:
+            if lowest is None or load.threshold < lowest:
                 lowest = load.threshold
-        return (lowest_refusing if lowest is None else lowest) or 0
+        return lowest or 0
 
     def set_unreachable(self, host: str, now_ms: float) -> None:
         """Takes in that the VM of a target does not answer."""
@@ -235,10 +230,7 @@
         # a queue forms.
         wait_share = ahead * ahead * 0.5 if ahead < 1 else ahead - 0.5
         score = mean_ms * (1.0 + wait_share)
-        failed_share = state.recent_failure_share(now_ms)
-        if load is not None:
-            failed_share = max(failed_share, load.refused_share * keep)
-        score *= 1.0 + FAILURE_FACTOR * failed_share
+        score *= 1.0 + FAILURE_FACTOR * state.recent_failure_share(now_ms)
         if load is None and not state.outstanding:
             # A target that has joined shows what it can do by one request.
             score *= UNKNOWN_FACTOR
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -14,7 +14,6 @@
 from mimosahaven.mesh import http1
 from mimosahaven.mesh import inflight as inflight_lib
 from mimosahaven.mesh import outcomes
-from mimosahaven.mesh import refusals
 from mimosahaven.mesh import settings as settings_lib
 from mimosahaven.mesh import targethealth
 from mimosahaven.mesh import targetpool
@@ -82,7 +81,6 @@
             collections.OrderedDict()
         )
         self._tasks = tasks
-        self.refused = refusals.RefusedShare()
         self.health = targethealth.TargetHealth(now_ms)
         self.refuse_code: Code | None = Code.STARTING
 
@@ -204,11 +202,8 @@
             except TimeoutError:
                 service_ms = clock.monotonic_ms() - started_ms
                 return outcomes.Failed(Code.TIMEOUT)
-            now_ms = clock.monotonic_ms()
-            self.health.heard(now_ms)
+            self.health.heard(clock.monotonic_ms())
             outcome = self._judge(stream)
-            refused = isinstance(outcome, outcomes.Refused)
-            self.refused.learn(refused, now_ms)
             if isinstance(outcome, outcomes.Answered):
                 service_ms = clock.monotonic_ms() - started_ms
                 stream.tree = {self._settings.service: 1.0}
