Test the program as a process, and four mechanisms whose tests did not fail

24 mechanisms of the mesh and of the platform's client were taken out of a scratch copy, one at a time. The tests of 18 failed, those of two (bound of the queue, limit of the target) did not end, and four passed: work in flight at a stop, the leaving of the own target, the status of the store's answers, and the check of the deadline on arrival at the gate.

Change: tests for the first three, which fail now without them. The fourth is done twice: the queue's expiry refuses the same call at the same moment; without that one its test fails. The program of platform/ is started as a process: SIGTERM, SIGHUP, settings that cannot be used, an address in use.

Seen on the way: unknown fields at the top level of a settings file are ignored without a line in the log.

--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -9,6 +9,7 @@
 from testtools import matchers
 
 from mimosahaven import clock
+from mimosahaven.mesh import daemon as daemon_lib
 from mimosahaven.mesh import records
 from mimosahaven.mesh import replica
 from mimosahaven.mesh import settings as settings_lib
@@ -398,14 +399,44 @@
 
         async def scene():
             async with fleet_lib.Fleet(["katalog"], [slow]) as fleet:
+                daemon = fleet.daemons[0]
+
+                async def end():
+                    await daemon.drain()
+                    daemon.stop()
+
                 asking = asyncio.ensure_future(fleet.ask())
                 await fleet_lib.until(lambda: fleet.raw[0].requests)
-                draining = asyncio.ensure_future(fleet.daemons[0].drain())
+                ending = asyncio.ensure_future(end())
                 await asyncio.sleep(0)
-                self.assertFalse(fleet.daemons[0].ready)
+                self.assertFalse(daemon.ready)
                 status, head, _ = await asking
                 self.assertEqual((200, "close"), (status, head["connection"]))
-                await draining
+                await ending
+
+        self.play(scene)
+
+    def test_work_that_lasts_beyond_the_serving_time_is_finished(self):
+        self.patch(daemon_lib, "SERVE_AFTER_TERM_MS", 100.0)
+
+        async def slow(head, body, writer, number):
+            await asyncio.sleep(0.8)
+            writer.write(ok(attempt_of(head)))
+
+        async def scene():
+            async with fleet_lib.Fleet(["katalog"], [slow]) as fleet:
+                daemon = fleet.daemons[0]
+
+                async def end():
+                    await daemon.drain()
+                    daemon.stop()
+
+                asking = asyncio.ensure_future(fleet.ask(deadline_ms=5_000))
+                await fleet_lib.until(lambda: fleet.raw[0].requests)
+                ending = asyncio.ensure_future(end())
+                status, _, _ = await asking
+                self.assertEqual(200, status)
+                await ending
 
         self.play(scene)
 
@@ -445,6 +476,30 @@
 
         self.play(scene)
 
+    def test_a_target_that_drains_has_left_and_can_come_back(self):
+        async def scene():
+            async with fleet_lib.Fleet(["katalog"]) as fleet:
+                daemon, feed = fleet.daemons[0], fleet.feeds[0]
+                later_ms = clock.monotonic_ms() + 60_000
+                states = (records.DRAINING_STATE, records.SERVING_STATE)
+                for revision, state in enumerate(states, start=2):
+                    own = samples.target(
+                        "i-0",
+                        fleet.hosts[0],
+                        port=fleet_lib.TARGET_PORT,
+                        state=state,
+                        revision=revision,
+                    )
+                    feed.publish(replica.Changes(revision, None, [own], []))
+                    leaving = state == records.DRAINING_STATE
+                    await fleet_lib.until(
+                        lambda leaving=leaving: (
+                            daemon.departure.refuses(later_ms) == leaving
+                        )
+                    )
+
+        self.play(scene)
+
     def test_runs_go_on_at_a_target_that_refuses_connections(self):
         # It may be leaving, or have too many of them.
         async def slow(head, body, writer, number):
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -77,6 +77,15 @@
             self.gate.tick(now_ms + step * 100.0)
         self.assertEqual(0, self.gate.threshold)
 
+    def test_what_cannot_end_in_time_is_refused_on_arrival(self):
+        for _ in range(20):
+            self.gate.offer(ticket(5), 0.0)
+            self.gate.finish(100.0, 100.0)
+        late = ticket(9, deadline_ms=110.0)
+        verdicts = self.gate.offer(late, 100.0)
+        self.assertEqual([(late, Code.DEADLINE_BEFORE_RUN)], verdicts.refused)
+        self.assertEqual([], verdicts.run)
+
     def test_an_old_mean_is_not_told(self):
         self.gate.offer(ticket(5), 0.0)
         self.gate.finish(600.0, 600.0)
--- /dev/null
+++ b/tests/platform/test_program.py
@@ -0,0 +1,107 @@
+"""The program that the platform starts, as a process of its own."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import testtools
+from testtools import matchers
+
+from mimosahaven import listening
+from mimosahaven.testing import ports as ports_lib
+from mimosahaven.testing import processes
+
+HOST = "127.0.0.1"
+LIMIT_S = 60
+PROGRAM = processes.ROOT / "platform" / "daemon.py"
+EXIT_BAD_SETTINGS = 2
+
+
+class ProgramTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory(prefix="mimosahaven-")
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.ports = ports_lib.PortHold()
+        self.addCleanup(self.ports.release)
+        callers, peers, readiness, target, store = self.ports.take(HOST, 5)
+        self.settings = {
+            "vm": "vm-1",
+            "failure_domain": "a",
+            "service": "katalog",
+            "target": f"{HOST}:{target}",
+            "listen": {
+                "callers": f"{HOST}:{callers}",
+                "peers": f"{HOST}:{peers}",
+                "readiness": f"{HOST}:{readiness}",
+            },
+            # Nobody listens there.
+            "store": {"endpoint": f"{HOST}:{store}"},
+        }
+
+    def start(self, text=None):
+        path = self.folder / "settings.json5"
+        path.write_text(text or json.dumps(self.settings), encoding="utf-8")
+        with (
+            (self.folder / "out").open("wb") as out,
+            (self.folder / "err").open("wb") as err,
+        ):
+            process = subprocess.Popen(
+                [sys.executable, str(PROGRAM)],
+                env=os.environ | {"MIMOSAHAVEN_SETTINGS": str(path)},
+                stdout=out,
+                stderr=err,
+            )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def events(self):
+        lines = (self.folder / "out").read_text().splitlines()
+        return [json.loads(line)["event"] for line in lines]
+
+    def until_event(self, event):
+        end_s = time.monotonic() + LIMIT_S
+        while event not in self.events():
+            self.assertThat(time.monotonic(), matchers.LessThan(end_s), event)
+            time.sleep(0.02)
+
+    def test_it_runs_without_a_store_and_ends_on_sigterm(self):
+        process = self.start()
+        self.until_event("store lost")
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(LIMIT_S))
+        self.assertEqual("stopped", self.events()[-1])
+
+    def test_sighup_reads_the_settings_and_ends_nothing(self):
+        process = self.start()
+        self.until_event("store lost")
+        process.send_signal(signal.SIGHUP)
+        self.until_event("settings read")
+        self.assertIs(None, process.poll())
+
+    def test_settings_that_cannot_be_used_are_said_in_lines(self):
+        bad_bounds = self.settings | {"bounds": {"grace_s": -1}}
+        for text in ("{", json.dumps(bad_bounds)):
+            process = self.start(text)
+            self.assertEqual(EXIT_BAD_SETTINGS, process.wait(LIMIT_S))
+            self.assertThat(
+                (self.folder / "err").read_text(),
+                matchers.Not(matchers.Contains("Traceback")),
+            )
+
+    def test_an_address_in_use_is_said_in_one_line(self):
+        host, port = self.settings["listen"]["callers"].split(":")
+        taken = listening.bind(host, int(port))
+        self.addCleanup(taken.close)
+        taken.listen()
+        process = self.start()
+        self.assertEqual(listening.EXIT_CANNOT_LISTEN, process.wait(LIMIT_S))
+        [line] = (self.folder / "err").read_text().splitlines()
+        self.assertThat(line, matchers.Contains("CANNOT_LISTEN"))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -109,7 +109,9 @@
         )
 
     def test_every_other_failure_is_an_error_of_the_feed(self):
-        for answer in ((503, b""), (429, b""), (200, b"{"), None):
+        # A failure may have a body that can be read.
+        page = {"items": [], "store_revision": 1}
+        for answer in ((503, page), (429, page), (200, b"{"), None):
             self.assertRaises(
                 replica.FeedError,
                 self.ask,
