Check gate, budget and routing of the mesh by properties

The gate under any order of arrivals, ends, leavings and pauses; the bound on repeats of a fleet whose daemons share nothing; the longest prefix against a search of all; shares within two requests. Found no fault.

--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -1,4 +1,7 @@
+import hypothesis
 import testtools
+from hypothesis import stateful
+from hypothesis import strategies
 from testtools import matchers
 
 from mimosahaven import codes
@@ -125,3 +128,74 @@
         self.assertThat(
             gate.threshold, matchers.LessThan(99 * identity.WEIGHT_STEP)
         )
+
+
+class GateMachine(stateful.RuleBasedStateMachine):
+    """Any order of arrivals, ends, leavings and pauses."""
+
+    def __init__(self):
+        super().__init__()
+        self.gate = gate_lib.Gate(4, 0.0)
+        self.now_ms = 0.0
+        self.waiting = []
+        self.running = []
+
+    def take_in(self, verdicts):
+        """Checks that each verdict is about a ticket that waits, once."""
+        for one in verdicts.run:
+            self.waiting.remove(one)
+            self.running.append(one)
+            higher = [w for w in self.waiting if w.priority > one.priority]
+            refused = [given_up for given_up, _ in verdicts.refused]
+            assert all(w in refused or w in verdicts.run for w in higher)
+        for one, code in verdicts.refused:
+            self.waiting.remove(one)
+            if code is Code.DISPLACED:
+                assert all(w.priority >= one.priority for w in self.waiting)
+
+    @stateful.rule(
+        weight=strategies.integers(1, 3),
+        age_ms=strategies.floats(0, 500),
+        left_ms=strategies.floats(-50, 2_000),
+    )
+    def offer(self, weight, age_ms, left_ms):
+        new = gate_lib.Ticket(
+            weight * identity.WEIGHT_STEP,
+            self.now_ms + left_ms,
+            self.now_ms - age_ms,
+        )
+        self.waiting.append(new)
+        self.take_in(self.gate.offer(new, self.now_ms))
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(service_ms=strategies.none() | strategies.floats(1, 800))
+    def finish(self, service_ms):
+        self.running.pop()
+        self.take_in(self.gate.finish(service_ms, self.now_ms))
+
+    @stateful.precondition(lambda self: self.waiting)
+    @stateful.rule(data=strategies.data())
+    def withdraw(self, data):
+        left = data.draw(strategies.sampled_from(self.waiting))
+        self.waiting.remove(left)
+        self.gate.withdraw(left, self.now_ms)
+
+    @stateful.rule(passed_ms=strategies.floats(0, 3_000))
+    def tick(self, passed_ms):
+        self.now_ms += passed_ms
+        self.take_in(self.gate.tick(self.now_ms))
+
+    @stateful.invariant()
+    def keeps_its_counts(self):
+        gate = self.gate
+        assert gate.running == len(self.running) <= gate.limit
+        assert gate.waiting == len(self.waiting)
+        assert gate.waiting <= gate.limit * gate_lib.QUEUE_FACTOR
+        assert not gate.waiting or gate.running == gate.limit
+        assert gate.threshold >= 0
+
+
+GateMachineTest = GateMachine.TestCase
+GateMachineTest.settings = hypothesis.settings(
+    database=None, derandomize=True, deadline=None, max_examples=60
+)
--- a/tests/mesh/test_resends.py
+++ b/tests/mesh/test_resends.py
@@ -1,4 +1,7 @@
+import hypothesis
 import testtools
+from hypothesis import strategies
+from testtools import matchers
 
 from mimosahaven.mesh import resends
 
@@ -61,3 +64,44 @@
         important = self.taken(budget, {"s": 1.0}, 0.0)
         self.assertTrue(important > ordinary / 2)
         self.assertTrue(important + ordinary <= 100)
+
+
+class FleetBudgetTest(testtools.TestCase):
+    """The bound of the fleet, over daemons that share nothing."""
+
+    @hypothesis.settings(
+        database=None, derandomize=True, deadline=None, max_examples=60
+    )
+    @hypothesis.given(
+        events=strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 3),
+                strategies.integers(0, 40),
+                strategies.floats(0, 4_000),
+                strategies.booleans(),
+            ),
+            max_size=60,
+        )
+    )
+    def test_no_window_has_more_repeats_than_the_fleet_may_send(self, events):
+        ratio, slack, count = 0.2, 12.0, 4
+        daemons = [
+            resends.ResendBudget(ratio, slack, WINDOW_MS) for _ in range(count)
+        ]
+        for daemon in daemons:
+            daemon.daemon_count = count
+        now_ms, fresh, repeats = 0.0, [], []
+        for index, burst, passed_ms, important in events:
+            now_ms += passed_ms
+            for _ in range(burst):
+                daemons[index].record_fresh("s", now_ms)
+                fresh.append(now_ms)
+                if daemons[index].take({"s": 1.0}, important, now_ms):
+                    repeats.append(now_ms)
+        for end_ms in repeats:
+            start_ms = end_ms - WINDOW_MS
+            sent = sum(start_ms < t <= end_ms for t in repeats)
+            asked = sum(start_ms < t <= end_ms for t in fresh)
+            self.assertThat(
+                sent, matchers.Not(matchers.GreaterThan(ratio * asked + slack))
+            )
--- a/tests/mesh/test_routing.py
+++ b/tests/mesh/test_routing.py
@@ -1,6 +1,8 @@
 import collections
 
+import hypothesis
 import testtools
+from hypothesis import strategies
 from testtools import matchers
 
 from mimosahaven.mesh import records
@@ -47,3 +49,53 @@
             index.choose_service(route) for _ in range(20)
         )
         self.assertThat(dealt, matchers.Equals({"a": 18, "b": 2}))
+
+
+_STEP = strategies.sampled_from(["a", "ab", "b"])
+_PREFIXES = strategies.lists(_STEP, max_size=3).map(
+    lambda steps: "/" + "".join(f"{step}/" for step in steps)
+)
+
+
+class RoutePropertyTest(testtools.TestCase):
+    @hypothesis.settings(database=None, derandomize=True, deadline=None)
+    @hypothesis.given(
+        prefixes=strategies.sets(_PREFIXES, max_size=6),
+        path=_PREFIXES,
+        rest=strategies.sampled_from(["", "a", "ab", "x?y=/a/"]),
+    )
+    def test_the_match_is_the_longest_of_all_that_begin_the_path(
+        self, prefixes, path, rest
+    ):
+        index = routing.RouteIndex(
+            samples.table(*(samples.route(p, prefix=p) for p in prefixes))
+        )
+        asked = path + rest
+        fitting = [p for p in prefixes if asked.split("?")[0].startswith(p)]
+        found = index.match("a.example", asked)
+        self.assertEqual(
+            max(fitting, key=len, default=None), found and found.name
+        )
+
+    @hypothesis.settings(database=None, derandomize=True, deadline=None)
+    @hypothesis.given(
+        weights=strategies.lists(
+            strategies.integers(1, 20), min_size=1, max_size=5
+        ),
+        count=strategies.integers(1, 200),
+    )
+    def test_shares_are_kept_to_less_than_two_requests(self, weights, count):
+        shares = tuple(
+            records.Share(f"s{number}", float(weight))
+            for number, weight in enumerate(weights)
+        )
+        route = samples.route(shares=shares)
+        index = routing.RouteIndex(samples.table(route))
+        dealt = collections.Counter(
+            index.choose_service(route) for _ in range(count)
+        )
+        for share in shares:
+            fair = count * share.weight / sum(weights)
+            self.assertThat(
+                abs(dealt[share.service] - fair), matchers.LessThan(2)
+            )
