Share the chain of two services between tests of whole daemons

What is sent, and every expectation, stays.

Change: CHAIN, call_below() and end() stand once, above the tests.

--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -62,6 +62,29 @@
     await asyncio.sleep(60)
 
 
+# The first route leads to a service whose target calls the second.
+CHAIN = [
+    samples.route(),
+    samples.route(
+        "y", prefix="/y/", rank=0, shares=(records.Share("presse", 1.0),)
+    ),
+]
+
+
+async def call_below(fleet, head):
+    """Makes a call for the request that a target runs; returns its status."""
+    status, _, _ = await fleet.ask(
+        attempt=head["mimosahaven-attempt"] + ".c1", path="/y/"
+    )
+    return status
+
+
+async def end(daemon):
+    """Ends a daemon as SIGTERM does."""
+    await daemon.drain()
+    daemon.stop()
+
+
 class DaemonTest(testtools.TestCase):
     def play(self, scene):
         asyncio.run(asyncio.wait_for(scene(), 30))
@@ -285,32 +308,14 @@
 
     def test_a_call_inherits_the_deadline_of_its_parent(self):
         async def nested(head, body, writer, number):
-            reader, out = await asyncio.open_connection(
-                fleet_holder[0].hosts[0], fleet_lib.CALLERS_PORT
-            )
-            out.write(
-                fleet_lib.request(
-                    attempt=head["mimosahaven-attempt"] + ".c1", path="/y/"
-                )
-            )
-            status, _, _ = await fleet_lib.read_answer(reader)
-            out.close()
+            status = await call_below(fleet_holder[0], head)
             writer.write(ok(attempt_of(head), b"%d" % status))
 
         fleet_holder = []
 
         async def scene():
-            routes = [
-                samples.route(),
-                samples.route(
-                    "y",
-                    prefix="/y/",
-                    rank=0,
-                    shares=(records.Share("presse", 1.0),),
-                ),
-            ]
             async with fleet_lib.Fleet(
-                ["katalog", "presse"], [nested, None], routes
+                ["katalog", "presse"], [nested, None], CHAIN
             ) as fleet:
                 fleet_holder.append(fleet)
                 status, _, body = await fleet.ask(deadline_ms=300)
@@ -331,16 +336,7 @@
         send_count = 10
 
         async def failing(head, body, writer, number):
-            reader, out = await asyncio.open_connection(
-                fleet_holder[0].hosts[0], fleet_lib.CALLERS_PORT
-            )
-            out.write(
-                fleet_lib.request(
-                    attempt=head["mimosahaven-attempt"] + ".c1", path="/y/"
-                )
-            )
-            await fleet_lib.read_answer(reader)
-            out.close()
+            await call_below(fleet_holder[0], head)
             writer.write(
                 b"HTTP/1.1 500 Error\r\nMimosahaven-Attempt: %b\r\n"
                 b"Content-Length: 0\r\n\r\n" % attempt_of(head)
@@ -349,16 +345,7 @@
         fleet_holder = []
 
         async def scene():
-            routes = [
-                samples.route(),
-                samples.route(
-                    "y",
-                    prefix="/y/",
-                    rank=0,
-                    shares=(records.Share("presse", 1.0),),
-                ),
-            ]
-            async with fleet_lib.Fleet(["katalog"], [failing], routes) as fleet:
+            async with fleet_lib.Fleet(["katalog"], [failing], CHAIN) as fleet:
                 fleet_holder.append(fleet)
                 answers = [
                     await fleet.ask(attempt=f"r{n}") for n in range(send_count)
@@ -401,13 +388,9 @@
             async with fleet_lib.Fleet(["katalog"], [slow]) as fleet:
                 daemon = fleet.daemons[0]
 
-                async def end():
-                    await daemon.drain()
-                    daemon.stop()
-
                 asking = asyncio.ensure_future(fleet.ask())
                 await fleet_lib.until(lambda: fleet.raw[0].requests)
-                ending = asyncio.ensure_future(end())
+                ending = asyncio.ensure_future(end(daemon))
                 await asyncio.sleep(0)
                 self.assertFalse(daemon.ready)
                 status, head, _ = await asking
@@ -427,13 +410,9 @@
             async with fleet_lib.Fleet(["katalog"], [slow]) as fleet:
                 daemon = fleet.daemons[0]
 
-                async def end():
-                    await daemon.drain()
-                    daemon.stop()
-
                 asking = asyncio.ensure_future(fleet.ask(deadline_ms=5_000))
                 await fleet_lib.until(lambda: fleet.raw[0].requests)
-                ending = asyncio.ensure_future(end())
+                ending = asyncio.ensure_future(end(daemon))
                 status, _, _ = await asking
                 self.assertEqual(200, status)
                 await ending
