--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -10,7 +10,6 @@
 from mimosahaven import codes
 from mimosahaven import collector
 from mimosahaven import decisions
-from mimosahaven import listening
 from mimosahaven import pause as pause_lib
 from mimosahaven import settings as settings_base
 from mimosahaven import shedding
@@ -21,9 +20,9 @@
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import gate as gate_lib
 from mimosahaven.mesh import inflight as inflight_lib
+from mimosahaven.mesh import listeners
 from mimosahaven.mesh import origin as origin_lib
 from mimosahaven.mesh import peerlink
-from mimosahaven.mesh import peerserver
 from mimosahaven.mesh import placement as placement_lib
 from mimosahaven.mesh import records
 from mimosahaven.mesh import replica as replica_lib
@@ -31,7 +30,6 @@
 from mimosahaven.mesh import resends
 from mimosahaven.mesh import runner as runner_lib
 from mimosahaven.mesh import settings as settings_lib
-from mimosahaven.mesh import sidepages
 
 Code = codes.Code
 
@@ -46,8 +44,6 @@
 KILL_MARGIN_MS = 900.0
 # A daemon that is idle for this long after that time ends.
 QUIET_MS = 200.0
-LISTEN_BACKLOG = 1024
-METRICS_PATH = "/metrics"
 # Interval of the log lines on the state of the target.
 STATE_LOG_MS = 1_000.0
 
@@ -238,7 +234,7 @@
         Raises:
           ListenError: An address cannot be listened on.
         """
-        await self._listen()
+        self._servers = await listeners.open_all(self)
         self.log.event("started", f"{self.settings.service}")
         self.tasks.spawn(self.replica.follow_store())
         self.tasks.spawn(self.replica.ask_seeds())
@@ -256,38 +252,8 @@
         self.log.event("stopped", "")
         self.log.flush()
 
-    async def _listen(self) -> None:
-        loop = asyncio.get_running_loop()
-        listen = self.settings.listen
-        readiness = sidepages.Page(
-            listen.readiness_path, lambda: (200 if self.ready else 503, "")
-        )
-        metrics = sidepages.Page(METRICS_PATH, lambda: (200, self._metrics()))
-        served = [
-            (lambda: callerserver.CallerConnection(self), listen.callers),
-            (lambda: peerserver.PeerServerConnection(self), listen.peers),
-            (
-                lambda: callerserver.CallerConnection(readiness),
-                listen.readiness,
-            ),
-        ]
-        if listen.metrics_port:
-            address = settings_base.Endpoint(
-                host=self.settings.target.host, port=listen.metrics_port
-            )
-            served.append(
-                (lambda: callerserver.CallerConnection(metrics), address)
-            )
-        for factory, address in served:
-            self._servers.append(
-                await loop.create_server(
-                    factory,
-                    sock=listening.bind(address.host, address.port),
-                    backlog=LISTEN_BACKLOG,
-                )
-            )
-
-    def _metrics(self) -> str:
+    def metrics_text(self) -> str:
+        """Returns the metrics as text."""
         return self.log.meters.render(report.gauges(self))
 
     async def drain(self) -> None:
--- /dev/null
+++ b/mimosahaven/mesh/listeners.py
@@ -0,0 +1,49 @@
+"""Opens what a mesh daemon serves: callers, peers, readiness and metrics."""
+
+import asyncio
+import typing
+
+from mimosahaven import listening
+from mimosahaven import settings as settings_base
+from mimosahaven.mesh import callerserver
+from mimosahaven.mesh import peerserver
+from mimosahaven.mesh import sidepages
+
+if typing.TYPE_CHECKING:
+    from mimosahaven.mesh import daemon as daemon_lib
+
+# Connections that wait to be accepted; a burst of callers opens hundreds.
+BACKLOG = 1024
+METRICS_PATH = "/metrics"
+
+
+async def open_all(daemon: "daemon_lib.MeshDaemon") -> list[asyncio.Server]:
+    """Opens all servers of a daemon.
+
+    Raises:
+      ListenError: An address cannot be listened on.
+    """
+    listen = daemon.settings.listen
+    readiness = sidepages.Page(
+        listen.readiness_path, lambda: (200 if daemon.ready else 503, "")
+    )
+    metrics = sidepages.Page(METRICS_PATH, lambda: (200, daemon.metrics_text()))
+    served = [
+        (lambda: callerserver.CallerConnection(daemon), listen.callers),
+        (lambda: peerserver.PeerServerConnection(daemon), listen.peers),
+        (lambda: callerserver.CallerConnection(readiness), listen.readiness),
+    ]
+    if listen.metrics_port:
+        address = settings_base.Endpoint(
+            host=daemon.settings.target.host, port=listen.metrics_port
+        )
+        served.append((lambda: callerserver.CallerConnection(metrics), address))
+    loop = asyncio.get_running_loop()
+    return [
+        await loop.create_server(
+            factory,
+            sock=listening.bind(address.host, address.port),
+            backlog=BACKLOG,
+        )
+        for factory, address in served
+    ]
--- a/mimosahaven/mesh/origin.py
+++ b/mimosahaven/mesh/origin.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import typing
 
 from mimosahaven import clock
 from mimosahaven import codes
@@ -12,14 +11,13 @@
 from mimosahaven.mesh import eventlog
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import http1
-from mimosahaven.mesh import inflight as inflight_lib
 from mimosahaven.mesh import outcomes
 from mimosahaven.mesh import peerlink
 from mimosahaven.mesh import placement as placement_lib
 from mimosahaven.mesh import records
 from mimosahaven.mesh import replica as replica_lib
+from mimosahaven.mesh import requestcontext as context_lib
 from mimosahaven.mesh import resends
-from mimosahaven.mesh import routing
 from mimosahaven.mesh import runner as runner_lib
 from mimosahaven.mesh import settings as settings_lib
 from mimosahaven.mesh import treecosts
@@ -27,15 +25,13 @@
 Code = codes.Code
 Reply = callerserver.Reply
 
-# Weight of rank 0; lower ranks count down from it.
-TOP_WEIGHT = 100
 # Threshold of a service without any target that can be reached.
-NOTHING_PRIORITY = (TOP_WEIGHT + 1) * identity.WEIGHT_STEP
+NOTHING_PRIORITY = (context_lib.TOP_WEIGHT + 1) * identity.WEIGHT_STEP
 # A restart of a daemon takes up to a second; a service is lost after this.
 SERVICE_LOST_MS = 1_500.0
-# The last word on a run comes from the target's daemon shortly after the
+# The outcome of a run comes from the target's daemon shortly after the
 # deadline; past this time the caller is answered without it.
-LAST_WORD_MS = 200.0
+OUTCOME_GRACE_MS = 200.0
 # A longer path is cut in the log.
 LOGGED_PATH_BYTES = 100
 # Sends of one request, refusals by daemons included.
@@ -61,19 +57,6 @@
 AVOID_MS = 300.0
 
 
-class Trip(typing.NamedTuple):
-    """A request with what the mesh knows of it."""
-
-    request: callerserver.Request
-    attempt_id: str
-    route: records.Route
-    service: str
-    priority: int
-    deadline_ms: float
-    root_ms: float
-    parent: inflight_lib.Parent | None
-
-
 class Origin:
     """Serves the requests that begin on this VM."""
 
@@ -90,9 +73,6 @@
         rng: random.Random,
     ):
         self._settings = settings
-        names = settings.headers
-        self._attempt_header = names.attempt_id.lower().encode()
-        self._deadline_header = names.deadline_ms.lower().encode()
         self._replica = replica
         self._placement = placement
         self._thresholds = thresholds
@@ -101,6 +81,9 @@
         self._budget = budget
         self._log = log
         self._rng = rng
+        self._contexts = context_lib.ContextReader(
+            settings.headers, runner.in_flight
+        )
         self._costs = treecosts.TreeCosts()
         self._send_count = 0
         self._lost_since_ms: dict[str, float] = {}
@@ -117,7 +100,7 @@
         finally:
             self.in_flight_count -= 1
 
-    def refuse(self, code: Code, retry_after_s: float | None = None) -> Reply:
+    def refuse(self, code: Code) -> Reply:
         """Returns a reply of the mesh itself."""
         info = codes.describe(code)
         status = info.http_status
@@ -126,11 +109,9 @@
             status = 503
         headers = [(b"Mimosahaven-Code", b"%d" % code)]
         if status == 503:
-            if retry_after_s is None:
-                retry_after_s = (
-                    RETRY_AFTER_MIN_S
-                    + RETRY_AFTER_SPREAD_S * self._rng.random()
-                )
+            # Callers that were refused together come back one by one.
+            spread_s = RETRY_AFTER_SPREAD_S * self._rng.random()
+            retry_after_s = RETRY_AFTER_MIN_S + spread_s
             headers.append((b"Retry-After", b"%.2f" % retry_after_s))
         return Reply(status, headers)
 
@@ -140,140 +121,96 @@
         index = self._replica.index
         if index is None:
             return self.refuse(Code.STARTING)
-        trip = self._trip(request, index)
-        if isinstance(trip, Code):
-            self._log_refused(request, trip)
-            return self.refuse(trip)
-        if trip.parent is None and self.leaving:
+        context = self._contexts.read(request, index)
+        if isinstance(context, Code):
+            self._log_refused(request, context)
+            return self.refuse(context)
+        if context.parent is None and self.leaving:
             self._log_refused(request, Code.LEAVING)
             return self.refuse(Code.LEAVING)
-        self._budget.record_fresh(trip.service, request.read_ms)
-        if trip.parent is None and self._sheds(trip):
-            self._log_shed(trip)
+        self._budget.record_fresh(context.service, request.read_ms)
+        if context.parent is None and self._sheds(context):
+            self._log_shed(context)
             return self.refuse(Code.SHED_AT_ENTRY)
-        limit_ms = trip.deadline_ms - clock.monotonic_ms() + LAST_WORD_MS
+        limit_ms = context.deadline_ms - clock.monotonic_ms() + OUTCOME_GRACE_MS
         try:
             async with asyncio.timeout(max(0.0, limit_ms) / 1000):
-                return await self._send_until_settled(trip)
+                return await self._send_until_settled(context)
         except TimeoutError:
             self._log.request(
-                trip.attempt_id, "no word", Code.TIMEOUT, trip.service
+                context.attempt_id, "no word", Code.TIMEOUT, context.service
             )
             return self.refuse(Code.TIMEOUT)
 
-    def _trip(
-        self, request: callerserver.Request, index: routing.RouteIndex
-    ) -> Trip | Code:
-        """Returns the trip of a request, or why there is none."""
-        headers = request.headers
-        host = http1.header(headers, b"host") or b""
-        route = index.match(
-            host.decode("latin-1"), request.path.decode("latin-1")
-        )
-        if route is None:
-            return Code.UNKNOWN_ROUTE
-        raw_id = http1.header(headers, self._attempt_header)
-        if not raw_id:
-            return Code.MALFORMED
-        attempt_id = raw_id.decode("latin-1")
-        deadline_ms = request.read_ms + route.timeout_ms
-        raw_deadline = http1.header(headers, self._deadline_header)
-        if raw_deadline is not None:
-            try:
-                deadline_ms = min(
-                    deadline_ms, request.read_ms + float(raw_deadline)
-                )
-            except ValueError:
-                return Code.MALFORMED
-        parent = self._runner.in_flight.parent_of(attempt_id)
-        root_ms = request.read_ms
-        if parent is None:
-            priority = identity.priority(
-                max(0, TOP_WEIGHT - route.rank), attempt_id
-            )
-        else:
-            priority = parent.priority
-            root_ms = parent.root_ms
-            deadline_ms = min(deadline_ms, parent.deadline_ms)
-        service = index.choose_service(route)
-        if parent is not None:
-            parent.add_need(service)
-        return Trip(
-            request,
-            attempt_id,
-            route,
-            service,
-            priority,
-            deadline_ms,
-            root_ms,
-            parent,
-        )
-
-    def _sheds(self, trip: Trip) -> bool:
-        now_ms = trip.request.read_ms
+    def _sheds(self, context: context_lib.RequestContext) -> bool:
+        now_ms = context.request.read_ms
         return self._thresholds.shed(
-            trip.service, trip.route.name, trip.priority, False, now_ms
+            context.service, context.route.name, context.priority, False, now_ms
         )
 
     def _log_refused(self, request: callerserver.Request, code: Code) -> None:
-        attempt_id = http1.header(request.headers, self._attempt_header) or b""
         host = http1.header(request.headers, b"host") or b""
         self._log.request(
-            attempt_id.decode("latin-1"),
+            self._contexts.attempt_id(request),
             "refused",
             code,
             f"{(host + request.path)[:LOGGED_PATH_BYTES].decode('latin-1')}, "
             f"table {self._replica.table_version}",
         )
 
-    def _log_shed(self, trip: Trip) -> None:
+    def _log_shed(self, context: context_lib.RequestContext) -> None:
         service, threshold, age_ms = self._thresholds.cause(
-            trip.service, trip.route.name, trip.priority, trip.request.read_ms
+            context.service,
+            context.route.name,
+            context.priority,
+            context.request.read_ms,
         )
         self._log.request(
-            trip.attempt_id,
+            context.attempt_id,
             "shed",
             Code.SHED_AT_ENTRY,
-            f"{trip.route.name}, priority {trip.priority} below {threshold} "
-            f"of {service}, age {age_ms:.0f} ms",
+            f"{context.route.name}, priority {context.priority} "
+            f"below {threshold} of {service}, age {age_ms:.0f} ms",
         )
 
-    async def _send_until_settled(self, trip: Trip) -> Reply:
+    async def _send_until_settled(
+        self, context: context_lib.RequestContext
+    ) -> Reply:
         tried: set[str] = set()
         arrived_count = 0
         code = Code.NO_TARGET
         unknown = False
         for _ in range(SENDS_MAX):
             now_ms = clock.monotonic_ms()
-            left_ms = trip.deadline_ms - now_ms
+            left_ms = context.deadline_ms - now_ms
             if tried and left_ms < REPEAT_LEFT_MIN_MS:
                 break
-            if arrived_count >= trip.route.targets_max:
+            if arrived_count >= context.route.targets_max:
                 break
-            candidates = self._replica.directory.serving(trip.service)
+            candidates = self._replica.directory.serving(context.service)
             target = self._placement.choose(candidates, tried, now_ms)
             if target is None:
                 if not tried:
-                    self._note_lost(trip.service, bool(candidates), now_ms)
+                    self._note_lost(context.service, bool(candidates), now_ms)
                 break
-            self._lost_since_ms.pop(trip.service, None)
-            if arrived_count and not self._may_repeat(trip, now_ms):
+            self._lost_since_ms.pop(context.service, None)
+            if arrived_count and not self._may_repeat(context, now_ms):
                 break
             tried.add(target.target_id)
-            outcome = await self._send(trip, target, arrived_count > 0)
+            outcome = await self._send(context, target, arrived_count > 0)
             if isinstance(outcome, outcomes.Answered):
-                return self._answered(trip, target, outcome)
+                return self._answered(context, target, outcome)
             code = outcome.code
             if isinstance(outcome, outcomes.Failed):
                 arrived_count += 1
                 unknown = True
-                if trip.route.once or code is Code.TIMEOUT:
+                if context.route.once or code is Code.TIMEOUT:
                     break
             else:
                 arrived_count += outcome.arrived
                 if code in (Code.DEADLINE_BEFORE_RUN, Code.DISPLACED):
                     break
-        return self._gave_up(trip, code, unknown, len(tried))
+        return self._gave_up(context, code, unknown, len(tried))
 
     def _note_lost(self, service: str, listed: bool, now_ms: float) -> None:
         """Notes that no target of a service can be reached.
@@ -290,36 +227,43 @@
         if not listed or now_ms - since_ms > SERVICE_LOST_MS:
             self._thresholds.learn(service, NOTHING_PRIORITY, 0.0, now_ms)
 
-    def _may_repeat(self, trip: Trip, now_ms: float) -> bool:
-        runs = self._costs.runs(trip.route.name, trip.service)
-        weight = trip.priority // identity.WEIGHT_STEP
-        important = weight >= TOP_WEIGHT - self._replica.index.top_rank
+    def _may_repeat(
+        self, context: context_lib.RequestContext, now_ms: float
+    ) -> bool:
+        runs = self._costs.runs(context.route.name, context.service)
+        weight = context.priority // identity.WEIGHT_STEP
+        important = (
+            weight >= context_lib.TOP_WEIGHT - self._replica.index.top_rank
+        )
         return self._budget.take(runs, important, now_ms)
 
     async def _send(
-        self, trip: Trip, target: records.Target, is_repeat: bool
+        self,
+        context: context_lib.RequestContext,
+        target: records.Target,
+        is_repeat: bool,
     ) -> outcomes.Outcome:
         self._send_count += 1
-        parent = trip.parent
+        parent = context.parent
         run = frames.Run(
             self._settings.target.host,
-            f"{trip.attempt_id}#{self._settings.vm}#{self._send_count}",
-            trip.attempt_id,
+            f"{context.attempt_id}#{self._settings.vm}#{self._send_count}",
+            context.attempt_id,
             target.target_id,
-            trip.route.once,
-            trip.priority,
+            context.route.once,
+            context.priority,
             0.0,
             0.0,
             is_repeat or (parent is not None and parent.repeat),
             self._settings.service,
-            trip.request.method,
-            trip.request.path,
-            http1.end_to_end(trip.request.headers),
-            trip.request.body,
+            context.request.method,
+            context.request.path,
+            http1.end_to_end(context.request.headers),
+            context.request.body,
             self._replica.table_version,
             self._replica.directory.revision,
         )
-        send = outcomes.Send(run, trip.deadline_ms, trip.root_ms)
+        send = outcomes.Send(run, context.deadline_ms, context.root_ms)
         state = self._placement.state(target)
         state.outstanding += 1
         try:
@@ -329,11 +273,14 @@
                 outcome = await self._peers.run(target.host, send)
         finally:
             state.outstanding -= 1
-        self._learn(trip, target, outcome)
+        self._learn(context, target, outcome)
         return outcome
 
     def _learn(
-        self, trip: Trip, target: records.Target, outcome: outcomes.Outcome
+        self,
+        context: context_lib.RequestContext,
+        target: records.Target,
+        outcome: outcomes.Outcome,
     ) -> None:
         now_ms = clock.monotonic_ms()
         placement = self._placement
@@ -356,40 +303,45 @@
                     placement.learn_result(target.host, True, now_ms)
         if not isinstance(outcome, outcomes.Answered):
             self._log.request(
-                trip.attempt_id,
+                context.attempt_id,
                 f"{type(outcome).__name__.lower()} at {target.target_id}",
                 outcome.code,
-                f"{trip.service}, left {trip.deadline_ms - now_ms:.0f} ms",
+                f"{context.service}, "
+                f"left {context.deadline_ms - now_ms:.0f} ms",
             )
 
     def _answered(
         self,
-        trip: Trip,
+        context: context_lib.RequestContext,
         target: records.Target,
         outcome: outcomes.Answered,
     ) -> Reply:
         stream = outcome.stream
         now_ms = clock.monotonic_ms()
         if stream.status < 300:
-            self._costs.learn(trip.route.name, trip.service, stream.tree)
-        if trip.parent is not None:
-            trip.parent.add_tree(stream.tree)
+            self._costs.learn(context.route.name, context.service, stream.tree)
+        if context.parent is not None:
+            context.parent.add_tree(stream.tree)
         else:
             learn = self._thresholds.learn_need
             if stream.status < 300:
                 learn = self._thresholds.learn_use
-            learn(trip.service, trip.route.name, stream.tree)
+            learn(context.service, context.route.name, stream.tree)
         self._log.answer(
-            trip.attempt_id,
-            trip.route.name,
+            context.attempt_id,
+            context.route.name,
             target.target_id,
             stream.status,
-            now_ms - trip.request.read_ms,
+            now_ms - context.request.read_ms,
         )
         return Reply(stream.status, stream=stream)
 
     def _gave_up(
-        self, trip: Trip, code: Code, unknown: bool, send_count: int
+        self,
+        context: context_lib.RequestContext,
+        code: Code,
+        unknown: bool,
+        send_count: int,
     ) -> Reply:
         if unknown and codes.describe(code).run_state is (
             codes.RunState.NOT_RUN
@@ -398,9 +350,9 @@
         elif not unknown and code is Code.LINK_LOST:
             code = Code.NO_TARGET
         self._log.request(
-            trip.attempt_id,
+            context.attempt_id,
             "gave up",
             code,
-            f"{trip.route.name}, {send_count} sends",
+            f"{context.route.name}, {send_count} sends",
         )
         return self.refuse(code)
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -9,6 +9,7 @@
 from testtools import matchers
 
 from mimosahaven import clock
+from mimosahaven import codes
 from mimosahaven.mesh import daemon as daemon_lib
 from mimosahaven.mesh import records
 from mimosahaven.mesh import replica
@@ -234,6 +235,38 @@
 
         self.play(scene)
 
+    def test_a_refusal_after_an_unknown_outcome_is_not_told_as_not_run(self):
+        async def cut_and_leave(head, body, writer, number):
+            for daemon in fleet_holder[0].daemons:
+                daemon.runner.refuse_code = codes.Code.LEAVING
+            await cut_answer(head, body, writer, number)
+
+        fleet_holder = []
+
+        async def scene():
+            handlers = [cut_and_leave] * 2
+            async with fleet_lib.Fleet(["katalog"] * 2, handlers) as fleet:
+                fleet_holder.append(fleet)
+                status, head, _ = await fleet.ask()
+                self.assertEqual(502, status)
+                self.assertNotIn("retry-after", head)
+
+        self.play(scene)
+
+    def test_a_repeat_is_not_sent_when_the_calls_below_it_cost_too_much(self):
+        async def scene():
+            handlers = [first_of_all(reset)] * 2
+            async with fleet_lib.Fleet(["katalog"] * 2, handlers) as fleet:
+                # More than the slack allows at the service below.
+                tree = {"katalog": 1.0, "presse": 500.0}
+                fleet.daemons[0].origin._costs.learn("r", "katalog", tree)
+                status, _, _ = await fleet.ask()
+                self.assertEqual(502, status)
+                sent = sum(len(raw.requests) for raw in fleet.raw)
+                self.assertEqual(1, sent)
+
+        self.play(scene)
+
     def test_a_caller_that_leaves_ends_the_work_at_the_target(self):
         async def scene():
             # The request alone would last longer than the scene may.
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -89,6 +89,17 @@
         self.assertEqual([(late, Code.DEADLINE_BEFORE_RUN)], verdicts.refused)
         self.assertEqual([], verdicts.run)
 
+    def test_calls_that_come_too_late_are_no_overload(self):
+        # An origin that sends them late says nothing of this target.
+        for _ in range(20):
+            self.gate.offer(ticket(5), 0.0)
+            self.gate.finish(100.0, 0.0)
+        # The expected time fades without ends; for so long it is above 5 ms.
+        for step in range(100):
+            now_ms = step * 10.0
+            self.gate.offer(ticket(9, deadline_ms=now_ms + 5), now_ms)
+        self.assertEqual(0, self.gate.threshold)
+
     def test_an_old_mean_is_not_told(self):
         self.gate.offer(ticket(5), 0.0)
         self.gate.finish(600.0, 600.0)
--- /dev/null
+++ b/tests/mesh/test_requestcontext.py
@@ -0,0 +1,62 @@
+import testtools
+
+from mimosahaven import codes
+from mimosahaven import identity
+from mimosahaven.mesh import callerserver
+from mimosahaven.mesh import inflight
+from mimosahaven.mesh import requestcontext
+from mimosahaven.mesh import routing
+from mimosahaven.mesh import settings as settings_lib
+from tests.mesh import samples
+
+PARENT = inflight.Parent("p1", 77, 50.0, 400.0, True)
+
+
+class ContextReaderTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        in_flight = inflight.InFlight()
+        in_flight.add(PARENT)
+        self.reader = requestcontext.ContextReader(
+            settings_lib.HeaderNames(), in_flight
+        )
+
+    def read(self, attempt="r1", path=b"/x/1", deadline=None):
+        headers = [(b"Host", b"a.example")]
+        if attempt is not None:
+            headers.append((b"Mimosahaven-Attempt", attempt.encode()))
+        if deadline is not None:
+            headers.append((b"Mimosahaven-Deadline-Ms", deadline))
+        request = callerserver.Request("GET", path, headers, b"", 100.0)
+        index = routing.RouteIndex(samples.table(samples.route()))
+        return self.reader.read(request, index)
+
+    def test_the_route_gives_importance_and_the_longest_time(self):
+        context = self.read()
+        self.assertEqual(
+            requestcontext.TOP_WEIGHT - 2,
+            context.priority // identity.WEIGHT_STEP,
+        )
+        self.assertEqual(1_100.0, context.deadline_ms)
+        self.assertEqual(100.0, context.root_ms)
+        self.assertEqual(1_100.0, self.read(deadline=b"5000").deadline_ms)
+        self.assertEqual(300.0, self.read(deadline=b"200").deadline_ms)
+
+    def test_a_call_takes_over_importance_age_and_deadline(self):
+        context = self.read(attempt="p1.c1", deadline=b"900")
+        self.assertIs(PARENT, context.parent)
+        self.assertEqual(
+            (77, 50.0, 400.0),
+            (context.priority, context.root_ms, context.deadline_ms),
+        )
+        self.assertIn("katalog", PARENT.tree)
+
+    def test_an_unknown_parent_gives_nothing(self):
+        context = self.read(attempt="p2.c1")
+        self.assertIsNone(context.parent)
+        self.assertEqual(1_100.0, context.deadline_ms)
+
+    def test_what_cannot_be_read_has_a_code(self):
+        self.assertIs(codes.Code.UNKNOWN_ROUTE, self.read(path=b"/y/"))
+        self.assertIs(codes.Code.MALFORMED, self.read(attempt=None))
+        self.assertIs(codes.Code.MALFORMED, self.read(deadline=b"soon"))
