Let two daemons of each failure domain watch the store, and the others follow

Cause: each daemon kept a watch of its own.

Change: mesh/watchduty.py orders the serving targets of a failure domain by rendezvous hash. The first two watch, the others follow them on one connection each (Follow, then State, News and Sign frames). A daemon that hears of no watcher with a working store for 0.2 to 1 s steps in, later ones of the order later. The second watcher pauses 0.4 s after news, the first 0.1 s, so that one call takes what follows. After a pause of its process a daemon asks a source.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -17,6 +17,8 @@
 from mimosahaven.mesh import callerserver
 from mimosahaven.mesh import departure as departure_lib
 from mimosahaven.mesh import eventlog
+from mimosahaven.mesh import feed as feed_lib
+from mimosahaven.mesh import following
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import gate as gate_lib
 from mimosahaven.mesh import inflight as inflight_lib
@@ -52,7 +54,7 @@
     """One daemon: it serves callers and runs requests on its target."""
 
     def __init__(
-        self, settings: settings_lib.MeshSettings, feed: replica_lib.Feed
+        self, settings: settings_lib.MeshSettings, feed: feed_lib.Feed
     ):
         self.settings = settings
         self.tasks = tasks_lib.Tasks()
@@ -83,7 +85,12 @@
         self.replica = replica_lib.Replica(
             settings, feed, self.peers, self.log, rng
         )
+        self.followers = following.Followers()
+        self.subscriptions = following.Subscriptions(
+            self.replica, self.peers, self.tasks
+        )
         self.replica.on_change = self._on_fleet_change
+        self.replica.publish = self.followers.publish
         self.replica.on_contact = lambda: self.pause.refreshed(
             clock.monotonic_ms()
         )
@@ -175,10 +182,16 @@
             return Code.LEAVING
         return None
 
-    def state_beyond(self, request: frames.Fetch) -> frames.State:
+    def state_beyond(
+        self, request: frames.Fetch | frames.Follow
+    ) -> frames.State:
         """Returns what is known beyond some versions."""
         return self.replica.state_beyond(request)
 
+    def sign(self) -> frames.Sign:
+        """Returns the sign of life for followers; one that stops has none."""
+        return self.replica.sign(leaving=self._term_ms is not None)
+
     def on_peer_versions(
         self, host: str, table_version: int, list_revision: int
     ) -> None:
@@ -260,6 +273,7 @@
         """Ends the work in flight, within the time before a kill."""
         self._term_ms = clock.monotonic_ms()
         self.log.event("stopping", f"{self._work_count()} in flight")
+        self.followers.publish(self.sign())
         end_ms = self._term_ms + self.settings.bounds.grace_s * 1000
         end_ms -= KILL_MARGIN_MS
         while (now_ms := clock.monotonic_ms()) < end_ms:
@@ -281,6 +295,7 @@
         if self.pause.observe(now_ms):
             self.log.event("was paused", f"{self.pause.last_gap_ms:.0f} ms")
             self.runner.pool.close_idle()
+            self.tasks.spawn(self.replica.refresh())
 
     def _on_load(self, host: str, load: frames.Load) -> None:
         now_ms = clock.monotonic_ms()
@@ -336,6 +351,9 @@
             self._observe(now_ms)
             self.runner.tick(now_ms)
             self._learn_own_load(now_ms)
+            self.subscriptions.tick(now_ms)
+            if self.followers.sign_due(now_ms):
+                self.followers.publish(self.sign())
             await self.replica.tick(now_ms)
             self._check_start()
             if now_ms - self._checked_ms >= 500:
--- a/mimosahaven/mesh/directory.py
+++ b/mimosahaven/mesh/directory.py
@@ -1,6 +1,7 @@
 """The targets of the mesh, as far as this daemon knows."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from mimosahaven.mesh import records
 
@@ -53,22 +54,63 @@
         if revision < self.revision:
             return False
         new = {target.target_id: target for target in targets}
-        for target_id, target in self._targets.items():
-            if target_id in new:
-                continue
-            if after_outage:
-                new[target_id] = target
-                self._missing.setdefault(target_id, now_ms + LAPSE_GRACE_MS)
+        # What is listed is not missing, whatever an earlier list lacked.
+        missing: dict[str, float] = {}
+        if after_outage:
+            for target_id in self._targets:
+                if target_id not in new:
+                    missing[target_id] = self._missing.get(
+                        target_id, now_ms + LAPSE_GRACE_MS
+                    )
+            new |= {i: self._targets[i] for i in missing}
         self._targets = new
+        self._missing = missing
         self.revision = revision
-        self._missing = {
-            target_id: until_ms
-            for target_id, until_ms in self._missing.items()
-            if target_id in new
-        }
         self._forget_indexes()
         return True
 
+    def take_over(
+        self,
+        targets: Iterable[records.Target],
+        revision: int,
+        lapsing: Mapping[str, float],
+        now_ms: float,
+    ) -> bool:
+        """Takes in the complete list of another daemon.
+
+        Args:
+          targets: All entries.
+          revision: Revision of the list.
+          lapsing: Entries that the store lacks since an outage, with the time
+            in ms for which they are still kept.
+          now_ms: Present time.
+
+        Returns:
+          Whether the list was newer than the replica.
+        """
+        if not self.replace(targets, revision, now_ms, False):
+            return False
+        for target_id, left_ms in lapsing.items():
+            self.lapse(target_id, now_ms + left_ms)
+        return True
+
+    def lapse(self, target_id: str, until_ms: float) -> None:
+        """Keeps an entry that the store lacks since an outage up to a time."""
+        if target_id in self._targets:
+            self._missing.setdefault(target_id, until_ms)
+
+    def lapsing(self, now_ms: float) -> dict[str, float]:
+        """Returns the entries kept after an outage, with the time left."""
+        return {
+            target_id: max(0.0, until_ms - now_ms)
+            for target_id, until_ms in self._missing.items()
+        }
+
+    def revision_of(self, target_id: str) -> int:
+        """Returns the revision of an entry, 0 for none."""
+        target = self._targets.get(target_id)
+        return target.revision if target else 0
+
     def put(self, target: records.Target) -> None:
         """Takes in a new or changed entry."""
         self._targets[target.target_id] = target
@@ -86,7 +128,7 @@
         if target_id not in self._targets:
             return None
         if after_outage:
-            self._missing.setdefault(target_id, now_ms + LAPSE_GRACE_MS)
+            self.lapse(target_id, now_ms + LAPSE_GRACE_MS)
             return None
         self._missing.pop(target_id, None)
         self._forget_indexes()
--- a/mimosahaven/mesh/frames.py
+++ b/mimosahaven/mesh/frames.py
@@ -1,8 +1,8 @@
 """Messages between daemons and their framing on a TCP connection.
 
 A connection carries one exchange at a time: Run, then Accepted while it goes
-on, then Answer (and Data up to End), Refused or Failed. Back pressure is that
-of TCP.
+on, then Answer (and Data up to End), Refused or Failed. After Follow it carries
+State, Sign and News to the follower only. Back pressure is that of TCP.
 """
 
 import struct
@@ -189,11 +189,61 @@
 
 
 class State(_Frame):
-    """Routes and targets of the sender; None for what is not newer."""
+    """Routes and targets of the sender; None for what is not newer.
+
+    Attributes:
+      table: The routes.
+      targets: All targets.
+      list_revision: Revision of the list.
+      lapsing: Targets that the store lacks since an outage, with the time in
+        ms for which they are still kept.
+    """
 
     table: records.RouteTable | None
     targets: list[records.Target] | None
     list_revision: int
+    lapsing: dict[str, float]
+
+
+class Follow(_Frame):
+    """Asks for what is newer than these versions, now and from now on."""
+
+    table_version: int
+    list_revision: int
+
+
+class Sign(_Frame):
+    """Sign of life for the daemons that follow the sender.
+
+    Attributes:
+      has_store: Whether the sender watches the store and has its answers.
+      table_version: Version of the routes in force.
+      list_revision: Revision of the list of targets.
+    """
+
+    has_store: bool
+    table_version: int
+    list_revision: int
+
+
+class News(_Frame):
+    """A change of routes or targets, for the daemons that follow the sender.
+
+    Attributes:
+      after: Revision of the list that the change builds on.
+      list_revision: Revision of the list with the change.
+      table: The routes, when they have changed.
+      changed: Targets that are new or have changed.
+      gone: Targets that are gone.
+      lapsing: Targets that are gone unless they come back within a time in ms.
+    """
+
+    after: int
+    list_revision: int
+    table: records.RouteTable | None
+    changed: list[records.Target]
+    gone: list[str]
+    lapsing: dict[str, float]
 
 
 Frame = (
@@ -210,6 +260,9 @@
     | Inquire
     | Fetch
     | State
+    | Follow
+    | Sign
+    | News
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/mimosahaven/mesh/peerlink.py
+++ b/mimosahaven/mesh/peerlink.py
@@ -12,6 +12,7 @@
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import outcomes
 from mimosahaven.mesh import settings as settings_lib
+from mimosahaven.mesh import watchduty
 
 Code = codes.Code
 
@@ -194,6 +195,25 @@
             connection.close()
         return frame if isinstance(frame, frames.State) else None
 
+    async def follow(
+        self,
+        host: str,
+        request: frames.Follow,
+        on_frame: Callable[[frames.Frame], None],
+    ) -> None:
+        """Passes on what a peer tells, until it ends or falls silent."""
+        connection = await self._open(host)
+        if connection is None:
+            return
+        connection.send(request)
+        try:
+            while True:
+                on_frame(await connection.receive(watchduty.SILENCE_MS))
+        except PeerLostError:
+            return
+        finally:
+            connection.close()
+
     def expire(self, now_ms: float) -> None:
         """Closes connections that have been idle for long."""
         for idle in self._idle.values():
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -7,6 +7,7 @@
 from mimosahaven import codes
 from mimosahaven import tasks as tasks_lib
 from mimosahaven.mesh import flow
+from mimosahaven.mesh import following
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import outcomes
 from mimosahaven.mesh import runner as runner_lib
@@ -19,6 +20,7 @@
     settings: settings_lib.MeshSettings
     runner: runner_lib.Runner
     tasks: tasks_lib.Tasks
+    followers: following.Followers
 
     def refuse_run(self) -> codes.Code | None:
         """Returns why a run is refused, or None."""
@@ -34,6 +36,9 @@
     ) -> None:
         """Takes in what a peer knows."""
 
+    def sign(self) -> frames.Sign:
+        """Returns the sign of life for followers."""
+
 
 class PeerServerConnection(flow.WriteFlow):
     """One connection from a peer; it carries one exchange at a time."""
@@ -69,6 +74,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Drops the run, unless its outcome may be asked for."""
         self._lost = True
+        self._node.followers.discard(self)
         if self._task is not None and not self._once:
             self._task.cancel()
         self.release_writers()
@@ -99,6 +105,22 @@
                 self._start(self._serve_inquiry(frame.send_id))
             case frames.Fetch():
                 self._write(node.state_beyond(frame))
+            case frames.Follow():
+                state = node.state_beyond(frame)
+                if state.table is not None or state.targets is not None:
+                    self._write(state)
+                self._write(node.sign())
+                node.followers.add(self)
+
+    def push(self, data: bytes) -> int:
+        """Sends an encoded frame; returns the bytes that are unread."""
+        if not self._lost and not self._transport.is_closing():
+            self._transport.write(data)
+        return self._transport.get_write_buffer_size()
+
+    def drop(self) -> None:
+        """Ends the connection."""
+        self._transport.abort()
 
     def _start(self, coroutine) -> None:
         self._task = self._node.tasks.spawn(coroutine)
--- a/mimosahaven/mesh/settings.py
+++ b/mimosahaven/mesh/settings.py
@@ -108,6 +108,9 @@
       watches_per_s: Watches that end without news in a second, over all
         daemons. The store may stay silent about changes; the first daemon
         whose watch ends then tells its peers.
+      watch_gap_ms: Pause after news, so that one call takes what follows. A
+        change must be in force within 2 s.
+      standby_gap_ms: The same for a watcher that stands by for another one.
       watch_min_ms: Shortest mean wait of a watch.
       watch_max_ms: Longest mean wait of a watch.
       read_timeout_ms: Time for an answer beyond the wait.
@@ -117,6 +120,8 @@
 
     endpoint: Address
     watches_per_s: Annotated[float, pydantic.Field(gt=0)] = 8.0
+    watch_gap_ms: PositiveMs = 100
+    standby_gap_ms: PositiveMs = 400
     watch_min_ms: PositiveMs = 500
     watch_max_ms: PositiveMs = 12_000
     read_timeout_ms: PositiveMs = 1_500
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -6,7 +6,7 @@
 import os
 
 from mimosahaven.mesh import daemon as daemon_lib
-from mimosahaven.mesh import replica
+from mimosahaven.mesh import feed as feed_lib
 from mimosahaven.mesh import settings as settings_lib
 from tests.mesh import rawtarget
 from tests.mesh import samples
@@ -27,12 +27,12 @@
 
     async def snapshot(self):
         if self.down:
-            raise replica.FeedError("down")
-        return replica.Snapshot(1, self.table, list(self.targets))
+            raise feed_lib.FeedError("down")
+        return feed_lib.Snapshot(1, self.table, list(self.targets))
 
     async def changes(self, after, wait_ms):
         if self.down:
-            raise replica.FeedError("down")
+            raise feed_lib.FeedError("down")
         return await self._pending.get()
 
     def publish(self, changes):
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -11,8 +11,8 @@
 from mimosahaven import clock
 from mimosahaven import codes
 from mimosahaven.mesh import daemon as daemon_lib
+from mimosahaven.mesh import feed as feed_lib
 from mimosahaven.mesh import records
-from mimosahaven.mesh import replica
 from mimosahaven.mesh import settings as settings_lib
 from mimosahaven.mesh import targethealth
 from mimosahaven.mesh import targetpool
@@ -398,7 +398,7 @@
         async def scene():
             async with fleet_lib.Fleet(["ordre", "katalog"]) as fleet:
                 fleet.feeds[0].publish(
-                    replica.Changes(
+                    feed_lib.Changes(
                         7, samples.table(samples.route(), version=9), [], []
                     )
                 )
@@ -503,7 +503,7 @@
                         state=state,
                         revision=revision,
                     )
-                    feed.publish(replica.Changes(revision, None, [own], []))
+                    feed.publish(feed_lib.Changes(revision, None, [own], []))
                     leaving = state == records.DRAINING_STATE
                     await fleet_lib.until(
                         lambda leaving=leaving: (
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,7 +6,7 @@
 import testtools
 from mimosahaven_platform import store
 
-from mimosahaven.mesh import replica
+from mimosahaven.mesh import feed
 from mimosahaven.mesh import settings as settings_lib
 from tests.mesh import rawtarget
 from tests.platform import test_decoding
@@ -102,7 +102,7 @@
 
     def test_history_that_is_gone_asks_for_a_snapshot(self):
         self.assertRaises(
-            replica.HistoryGoneError,
+            feed.HistoryGoneError,
             self.ask,
             [(410, {})],
             lambda feed: feed.changes(4, 100.0),
@@ -113,7 +113,7 @@
         page = {"items": [], "store_revision": 1}
         for answer in ((503, page), (429, page), (200, b"{"), None):
             self.assertRaises(
-                replica.FeedError,
+                feed.FeedError,
                 self.ask,
                 [answer, answer],
                 lambda feed: feed.snapshot(),
