Add a randomized soak of the real daemons with faults from outside

Change: tests/soak/ starts platform/daemon.py for each VM, with forwarders in front of the peers' port and of the store, and targets, callers and a store of our own.

--- /dev/null
+++ b/tests/platform/fakestore.py
@@ -0,0 +1,118 @@
+"""Stand-in for the platform's store: read calls only, with faults."""
+
+import asyncio
+import base64
+import enum
+import json
+
+from aiohttp import web
+
+
+class Fault(enum.Enum):
+    """What the store does instead of answering."""
+
+    NONE = "none"
+    BUSY = "busy"
+    SILENT = "silent"
+    RESET = "reset"
+
+
+class FakeStore:
+    """Serves items by key, their changes, and forgets its history on demand.
+
+    Attributes:
+      fault: What calls get at present.
+      delay_s: Time that an answer takes.
+      call_count: Calls served or refused.
+    """
+
+    def __init__(self):
+        self.fault = Fault.NONE
+        self.delay_s = 0.004
+        self.call_count = 0
+        self._items: dict[str, dict] = {}
+        self._events: list[dict] = []
+        self._revision = 1
+        self._oldest = 1
+        self._changed = asyncio.Condition()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listens."""
+        app = web.Application()
+        app.router.add_get("/api/kv-range", self._range)
+        app.router.add_get("/api/kv-watch", self._watch)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        await self._runner.cleanup()
+
+    async def put(self, key: str, value: object) -> int:
+        """Writes an item and returns its revision."""
+        data = base64.b64encode(json.dumps(value).encode()).decode()
+        self._revision += 1
+        item = {"key": key, "value": data, "rev": self._revision, "lease": 0}
+        self._items[key] = item
+        return await self._tell(item)
+
+    async def delete(self, key: str) -> int:
+        """Removes an item and returns the revision."""
+        self._revision += 1
+        self._items.pop(key, None)
+        return await self._tell(
+            {"key": key, "rev": self._revision, "is_gone": True}
+        )
+
+    def forget_history(self) -> None:
+        """Drops all past changes."""
+        self._oldest = self._revision
+        self._events.clear()
+
+    async def _tell(self, event: dict) -> int:
+        self._events.append(event)
+        async with self._changed:
+            self._changed.notify_all()
+        return self._revision
+
+    async def _admit(self, request: web.Request) -> None:
+        self.call_count += 1
+        await asyncio.sleep(self.delay_s)
+        if self.fault is Fault.BUSY:
+            raise web.HTTPServiceUnavailable
+        if self.fault is Fault.RESET:
+            request.transport.abort()
+        while self.fault is Fault.SILENT:  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+
+    async def _range(self, request: web.Request) -> web.Response:
+        await self._admit(request)
+        return web.json_response(
+            {
+                "items": sorted(self._items.values(), key=lambda i: i["key"]),
+                "store_revision": self._revision,
+                "has_more": False,
+            }
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        await self._admit(request)
+        after = int(request.query["after"])
+        if after < self._oldest:
+            raise web.HTTPGone
+        wait_s = int(request.query["wait_ms"]) / 1000
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(lambda: self._revision > after)
+        except TimeoutError:
+            pass
+        while self.fault is Fault.SILENT:  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+        if self.fault is not Fault.NONE:
+            raise web.HTTPServiceUnavailable
+        events = [event for event in self._events if event["rev"] > after]
+        return web.json_response(
+            {"events": events, "store_revision": self._revision}
+        )
--- /dev/null
+++ b/tests/soak/harness.py
@@ -0,0 +1,315 @@
+"""The programs of a soak: daemons as processes, stand-ins around them."""
+
+import asyncio
+import itertools
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import time
+
+from mimosahaven.testing import forwarder as forwarder_lib
+from mimosahaven.testing import processes
+from tests.platform import fakestore
+from tests.soak import seen as seen_lib
+from tests.soak import world as world_lib
+
+PROGRAM = processes.ROOT / "platform" / "daemon.py"
+VARIABLE = "MIMOSAHAVEN_SETTINGS"
+FAILURE_DOMAINS = 3
+CALLERS_PER_VM = 2
+GRACE_S = 6.0
+DRAIN_S = 2.0
+# The platform starts a process again after a short delay.
+RESTART_S = 0.3
+STALL_S = 0.25
+_NETWORKS = itertools.count(1)
+
+
+class Harness:
+    """Daemons, targets, store and callers of one soak.
+
+    Daemon i listens for peers behind a forwarder, through which the faults
+    between daemons come.
+
+    Args:
+      count: Number of VMs.
+      seed: Seed of everything that is drawn.
+      folder: Takes settings and logs.
+    """
+
+    def __init__(self, count: int, seed: int, folder: pathlib.Path):
+        self.rng = random.Random(seed)
+        self.seen = seen_lib.Seen()
+        self.store = fakestore.FakeStore()
+        self.folder = folder
+        self.stopping = False
+        network = f"127.{os.getpid() % 250 + 1}"
+        number = next(_NETWORKS)
+        self.hosts = [f"{network}.{number}.{i + 1}" for i in range(count)]
+        self._daemon_hosts = [
+            f"{network}.{number + 100}.{i + 1}" for i in range(count)
+        ]
+        self._store_host = f"{network}.{number}.250"
+        self.incarnations = [0] * count
+        self.targets: list[world_lib.Target | None] = [None] * count
+        self.forwarders: list[forwarder_lib.Forwarder] = []
+        self.store_paths: list[forwarder_lib.Forwarder] = []
+        self.daemons: list[subprocess.Popen | None] = [None] * count
+        self._keep_up = [True] * count
+        self._ready = [False] * count
+        self._target_numbers = [0] * count
+        self._version = 0
+        self._tasks: list[asyncio.Task] = []
+
+    @property
+    def count(self) -> int:
+        """Number of VMs."""
+        return len(self.hosts)
+
+    def takes_callers(self, vm: int) -> bool:
+        """Whether callers may open connections to a daemon."""
+        return self._ready[vm]
+
+    async def start(self) -> None:
+        """Starts everything and waits until all daemons are ready."""
+        await self.store.start(self._store_host, world_lib.STORE_PORT)
+        await self.put_table()
+        for vm, host in enumerate(self.hosts):
+            forwarder = forwarder_lib.Forwarder(
+                host, self._daemon_hosts[vm], world_lib.PEERS_PORT
+            )
+            forwarder.port = world_lib.PEERS_PORT
+            await forwarder.start()
+            self.forwarders.append(forwarder)
+            path = forwarder_lib.Forwarder(
+                self._daemon_hosts[vm],
+                self._store_host,
+                world_lib.STORE_PORT,
+            )
+            path.port = world_lib.STORE_PORT
+            await path.start()
+            self.store_paths.append(path)
+            await self.start_target(vm)
+            self.start_daemon(vm)
+            self._spawn(self._keep_daemon(vm))
+            self._spawn(self._watch_ready(vm))
+        self._spawn(self._watch_stalls())
+
+        async def all_ready():
+            return all(self._ready)
+
+        await processes.wait_for(all_ready, what="all daemons ready")
+        for vm, host in enumerate(self.hosts):
+            for number in range(CALLERS_PER_VM):
+                caller = world_lib.Caller(
+                    f"c{vm}.{number}", vm, host, self, self.rng
+                )
+                self._spawn(caller.run())
+            probe = world_lib.Caller(f"p{vm}", vm, host, self, self.rng)
+            self._spawn(probe.probe())
+
+    async def stop(self) -> None:
+        """Ends everything."""
+        self.seen.ended_s = time.monotonic()
+        self.stopping = True
+        self._keep_up = [False] * self.count
+        for daemon in self.daemons:
+            if daemon is not None and daemon.poll() is None:
+                daemon.send_signal(signal.SIGCONT)
+                daemon.kill()
+                daemon.wait()
+        for task in self._tasks:
+            task.cancel()
+        results = await asyncio.gather(*self._tasks, return_exceptions=True)
+        for target in self.targets:
+            if target is not None:
+                target.crash()
+        for forwarder in [*self.forwarders, *self.store_paths]:
+            await forwarder.stop()
+        await self.store.stop()
+        for result in results:
+            if isinstance(result, Exception):
+                raise result
+
+    def _spawn(self, coroutine) -> None:
+        self._tasks.append(asyncio.ensure_future(coroutine))
+
+    # Targets.
+
+    async def start_target(self, vm: int) -> None:
+        """Starts a new target on a VM and writes its entry."""
+        self._target_numbers[vm] += 1
+        target = world_lib.Target(
+            vm, self.hosts[vm], self._target_numbers[vm], self.seen, self.rng
+        )
+        await target.start()
+        self.targets[vm] = target
+        await self._put_target(target, "ready")
+
+    async def _put_target(self, target: world_lib.Target, state: str) -> None:
+        entry = {
+            "service": target.service,
+            "address": f"{target.host}:{world_lib.TARGET_PORT}",
+            "zone": f"zone-{target.vm % FAILURE_DOMAINS}",
+            "version": "v1",
+            "slots": world_lib.SLOTS,
+            "state": state,
+            "cold_left_s": 0.0,
+            "seq": 1,
+            "born": 1_700_000_000_000,
+        }
+        await self.store.put(f"servers/{target.target_id}", entry)
+
+    async def crash_target(self, vm: int) -> None:
+        """Ends a target without notice; its entry lapses later."""
+        target, self.targets[vm] = self.targets[vm], None
+        target.crash()
+        await asyncio.sleep(1.0)
+        await self.store.delete(f"servers/{target.target_id}")
+
+    async def replace_target(self, vm: int) -> None:
+        """Drains a target and starts another one at its address."""
+        target = self.targets[vm]
+        await self._put_target(target, "draining")
+        self.seen.leavings.append(
+            seen_lib.Leaving(target.target_id, time.monotonic())
+        )
+        await asyncio.sleep(DRAIN_S + 0.5)
+        self.targets[vm] = None
+        target.crash()
+        await self.store.delete(f"servers/{target.target_id}")
+        await asyncio.sleep(0.5)
+        await self.start_target(vm)
+
+    # The operators' configuration.
+
+    async def put_table(self) -> None:
+        """Writes the next configuration; it moves the probed route."""
+        self._version += 1
+        version = self._version
+        columns = [
+            "name",
+            "host",
+            "prefix",
+            "kind",
+            "timeout_s",
+            "slo_s",
+            "priority",
+            "max_attempts",
+            "service",
+        ]
+        rows = []
+        for name, kind in world_lib.KINDS.items():
+            prefix, service = kind.prefix, kind.service
+            if name == world_lib.PROBE_KIND:
+                prefix = f"{prefix}{version}/"
+                service = self.rng.choice(world_lib.SERVICES)
+            rows.append(
+                [
+                    name,
+                    world_lib.HOST_HEADER,
+                    prefix,
+                    "non_idempotent" if kind.once else "idempotent",
+                    world_lib.DEADLINE_MS / 1000,
+                    1.0,
+                    kind.rank,
+                    world_lib.TARGETS_MAX,
+                    service,
+                ]
+            )
+        config = {
+            "version": f"{version:08x}",
+            "routes": {"columns": columns, "rows": rows},
+            "services": {"columns": ["name"], "rows": []},
+            "limits": {
+                "max_header_bytes": 16_384,
+                "max_body_bytes": 1_000_000,
+                "header_timeout_s": 3,
+                "idle_timeout_s": 15,
+            },
+        }
+        await self.store.put("op/config", config)
+        self.seen.tables.append((time.monotonic(), version))
+
+    # Daemons.
+
+    def start_daemon(self, vm: int) -> None:
+        """Starts the daemon of a VM."""
+        host = self.hosts[vm]
+        settings = {
+            "vm": f"vm-{vm}",
+            "failure_domain": f"zone-{vm % FAILURE_DOMAINS}",
+            "service": world_lib.service_of(vm),
+            "target": f"{host}:{world_lib.TARGET_PORT}",
+            "listen": {
+                "callers": f"{host}:{world_lib.CALLERS_PORT}",
+                "peers": f"{self._daemon_hosts[vm]}:{world_lib.PEERS_PORT}",
+                "readiness": f"{host}:{world_lib.READY_PORT}",
+            },
+            "store": {
+                "endpoint": f"{self._daemon_hosts[vm]}:{world_lib.STORE_PORT}"
+            },
+            "bounds": {"grace_s": GRACE_S, "resend_slack": 47},
+        }
+        path = self.folder / f"vm-{vm}.json5"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        self.incarnations[vm] += 1
+        with (self.folder / f"vm-{vm}.log").open("ab") as log:
+            self.daemons[vm] = subprocess.Popen(
+                [sys.executable, str(PROGRAM)],
+                env=os.environ | {VARIABLE: str(path)},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, vm: int, number: signal.Signals) -> None:
+        """Sends a signal to a daemon that exists."""
+        daemon = self.daemons[vm]
+        if daemon.poll() is None:
+            daemon.send_signal(number)
+
+    async def _keep_daemon(self, vm: int) -> None:
+        """Starts a daemon again when it has ended."""
+        while self._keep_up[vm]:
+            await asyncio.sleep(0.02)
+            if self.daemons[vm].poll() is not None:
+                await asyncio.sleep(RESTART_S)
+                if self._keep_up[vm]:
+                    self.start_daemon(vm)
+
+    async def _watch_ready(self, vm: int) -> None:
+        """Asks for readiness once a second; two misses turn callers away."""
+        misses = 2
+        while not self.stopping:
+            misses = 0 if await self._is_ready(vm) else misses + 1
+            self._ready[vm] = misses < 2
+            await asyncio.sleep(1.0 if self._ready[vm] else 0.2)
+
+    async def _is_ready(self, vm: int) -> bool:
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(
+                    self.hosts[vm], world_lib.READY_PORT
+                )
+                try:
+                    writer.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+                    status, _ = await world_lib.read_answer(reader)
+                finally:
+                    writer.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return False
+        return status == 200
+
+    async def _watch_stalls(self) -> None:
+        """Notes when this process was not run for a while."""
+        while not self.stopping:
+            before_s = time.monotonic()
+            await asyncio.sleep(0.05)
+            now_s = time.monotonic()
+            if now_s - before_s > 0.05 + STALL_S:
+                self.seen.stalls.append(now_s)
