--- a/mimosahaven/mesh/origin.py
+++ b/mimosahaven/mesh/origin.py
@@ -234,12 +234,11 @@
         self, context: context_lib.RequestContext, now_ms: float
     ) -> bool:
         runs = self._costs.runs(context.route.name, context.service)
-        weight, place = divmod(context.priority, identity.WEIGHT_STEP)
+        weight = context.priority // identity.WEIGHT_STEP
         top_weight = context_lib.TOP_WEIGHT - self._replica.index.top_rank
         claim = resends.Claim(
             runs,
             important=weight >= top_weight,
-            place=place / identity.WEIGHT_STEP,
             whole=context.parent is None and len(runs) == 1,
         )
         return self._budget.take(claim, now_ms)
--- a/mimosahaven/mesh/resends.py
+++ b/mimosahaven/mesh/resends.py
@@ -6,9 +6,8 @@
 
 Answers the pattern "all targets of a deep service refuse many runs" too. An
 order of eight calls needs ten repeats then, and the allowance covers a few in a
-hundred. Shared out evenly it finishes nothing. It goes to whole requests, the
-same ones at every daemon: first those that consist of this run alone, then the
-most important ones by their place among their rank.
+hundred. It goes to the most important requests then, and to those that consist
+of this run alone.
 """
 
 import collections
@@ -19,9 +18,6 @@
 USED_SHARE = 0.85
 # Part of that which less important requests may use.
 ORDINARY_SHARE = 0.6
-# The same where the allowance is scarce, for the first of them by their place;
-# what they take is missing for more important ones in the seconds after.
-SCARCE_ORDINARY_SHARE = 0.2
 # Fewer refusals than this in SCARCE_STEPS say little.
 SCARCE_REFUSALS_MIN = 5
 # Steps of the window, the present one included, that tell of scarcity.
@@ -61,14 +57,11 @@
       runs: Runs at each service that the repeat is expected to take.
       important: Whether it is of the highest rank; the others leave a part of
         the allowance to these.
-      place: Place of the root request among those of its rank, 0 to 1, higher
-        first; it is the same at every daemon.
       whole: Whether this run is all that the root request consists of.
     """
 
     runs: dict[str, float]
     important: bool
-    place: float = 0.0
     whole: bool = False
 
 
@@ -133,11 +126,9 @@
 
     def _share(self, claim: Claim, service: str, now_ms: float) -> float:
         """Returns the part of the allowance that a request may use."""
-        if claim.whole or not self.is_scarce(service, now_ms):
-            return 1.0 if claim.important else ORDINARY_SHARE
-        if claim.important:
-            return claim.place
-        return SCARCE_ORDINARY_SHARE * claim.place
+        if self.is_scarce(service, now_ms):
+            return 1.0 if claim.important or claim.whole else 0.0
+        return 1.0 if claim.important else ORDINARY_SHARE
 
     def _of(self, counts: dict[str, _Steps], service: str) -> _Steps:
         steps = counts.get(service)
