Watch the store in a module of its own, and pass on what is newer only

Change: mesh/storewatch.py reads and watches the store; the replica takes in what is read or told. A list that is not newer is not taken from a peer (test_what_a_watcher_knows_is_not_passed_on_for_ever fails without this). Gauges store_watching and followers.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -32,6 +32,7 @@
 from mimosahaven.mesh import resends
 from mimosahaven.mesh import runner as runner_lib
 from mimosahaven.mesh import settings as settings_lib
+from mimosahaven.mesh import storewatch
 
 Code = codes.Code
 
@@ -82,8 +83,9 @@
             bounds.resend_slack,
             bounds.resend_window_s * 1000,
         )
-        self.replica = replica_lib.Replica(
-            settings, feed, self.peers, self.log, rng
+        self.replica = replica_lib.Replica(settings, self.peers, self.log)
+        self.store = storewatch.StoreWatch(
+            settings.store, feed, self.replica, self.log, rng
         )
         self.followers = following.Followers()
         self.subscriptions = following.Subscriptions(
@@ -91,9 +93,7 @@
         )
         self.replica.on_change = self._on_fleet_change
         self.replica.publish = self.followers.publish
-        self.replica.on_contact = lambda: self.pause.refreshed(
-            clock.monotonic_ms()
-        )
+        self.store.on_contact = self._refreshed
         self.origin = origin_lib.Origin(
             settings,
             self.replica,
@@ -105,7 +105,6 @@
             self.log,
             rng,
         )
-        self._feed = feed
         self._callers: set[callerserver.CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
         self._term_ms: float | None = None
@@ -190,7 +189,8 @@
 
     def sign(self) -> frames.Sign:
         """Returns the sign of life for followers; one that stops has none."""
-        return self.replica.sign(leaving=self._term_ms is not None)
+        stopping = self._term_ms is not None
+        return self.replica.sign(self.store.has_store and not stopping)
 
     def on_peer_versions(
         self, host: str, table_version: int, list_revision: int
@@ -249,7 +249,7 @@
         """
         self._servers = await listeners.open_all(self)
         self.log.event("started", f"{self.settings.service}")
-        self.tasks.spawn(self.replica.follow_store())
+        self.tasks.spawn(self.store.run())
         self.tasks.spawn(self.replica.ask_seeds())
         self.tasks.spawn(self._tick_forever())
 
@@ -295,7 +295,14 @@
         if self.pause.observe(now_ms):
             self.log.event("was paused", f"{self.pause.last_gap_ms:.0f} ms")
             self.runner.pool.close_idle()
-            self.tasks.spawn(self.replica.refresh())
+            self.tasks.spawn(self._refresh())
+
+    async def _refresh(self) -> None:
+        if await self.replica.refresh():
+            self._refreshed()
+
+    def _refreshed(self) -> None:
+        self.pause.refreshed(clock.monotonic_ms())
 
     def _on_load(self, host: str, load: frames.Load) -> None:
         now_ms = clock.monotonic_ms()
--- a/mimosahaven/mesh/directory.py
+++ b/mimosahaven/mesh/directory.py
@@ -75,7 +75,7 @@
         revision: int,
         lapsing: Mapping[str, float],
         now_ms: float,
-    ) -> bool:
+    ) -> None:
         """Takes in the complete list of another daemon.
 
         Args:
@@ -84,15 +84,10 @@
           lapsing: Entries that the store lacks since an outage, with the time
             in ms for which they are still kept.
           now_ms: Present time.
-
-        Returns:
-          Whether the list was newer than the replica.
         """
-        if not self.replace(targets, revision, now_ms, False):
-            return False
+        self.replace(targets, revision, now_ms, False)
         for target_id, left_ms in lapsing.items():
             self.lapse(target_id, now_ms + left_ms)
-        return True
 
     def lapse(self, target_id: str, until_ms: float) -> None:
         """Keeps an entry that the store lacks since an outage up to a time."""
--- a/mimosahaven/mesh/replica.py
+++ b/mimosahaven/mesh/replica.py
@@ -1,7 +1,5 @@
 """Routes and targets in force at this daemon, from the store and from peers."""
 
-import asyncio
-import random
 from collections.abc import Callable
 
 from mimosahaven import clock
@@ -19,11 +17,6 @@
 # A daemon that has just been told of newer versions waits this long for the
 # store to tell it as well, before it asks the peer.
 PEER_WAIT_MS = 250.0
-# A daemon that does not watch looks this often whether it has to.
-DUTY_CHECK_MS = 50.0
-# While no watcher reaches the store, the other daemons of a failure domain
-# together ask it about once in this time.
-STEPPED_IN_PAUSE_MS = 100.0
 
 
 class Replica:
@@ -32,41 +25,31 @@
     Attributes:
       index: The routes in force, or None.
       directory: The targets.
+      complete: Whether changes can be read from the directory's revision on.
       duty: Whether this daemon watches the store.
-      contact_ms: Time of the last answer of the store, or None.
       on_change: Called when routes or targets have changed.
-      on_contact: Called when the store has answered.
       publish: Called with each change, for the daemons that follow this one.
     """
 
     def __init__(
         self,
         settings: settings_lib.MeshSettings,
-        feed: feed_lib.Feed,
         peers: peerlink.PeerPool,
         log: eventlog.EventLog,
-        rng: random.Random,
     ):
         self._settings = settings
-        self._limits = settings.store
-        self._feed = feed
         self._peers = peers
         self._log = log
-        self._rng = rng
         self.index: routing.RouteIndex | None = None
         self.directory = directory_lib.TargetDirectory()
-        self.contact_ms: float | None = None
         self.duty = watchduty.WatchDuty(
             settings.target.host, settings.failure_domain
         )
-        self._failing = False
-        self._watching = False
+        self.complete = False
         self._behind_host = ""
         self._behind_ms = 0.0
         self._fetching = False
-        self._complete = False
         self.on_change: Callable[[], None] = lambda: None
-        self.on_contact: Callable[[], None] = lambda: None
         self.publish: Callable[[frames.Frame], None] = lambda frame: None
 
     @property
@@ -74,71 +57,6 @@
         """Version of the routes in force, 0 for none."""
         return self.index.table.version if self.index else 0
 
-    @property
-    def has_store(self) -> bool:
-        """Whether this daemon watches the store and has its answers."""
-        return self._watching and not self._failing
-
-    async def follow_store(self) -> None:
-        """Watches the store while that is a duty; errors never end it."""
-        pause_ms = self._limits.retry_ms
-        while True:
-            if self._complete and not self.duty.watches(clock.monotonic_ms()):
-                self._note_watching(False)
-                await asyncio.sleep(DUTY_CHECK_MS / 1000)
-                continue
-            try:
-                await self._read_store()
-                pause_ms = self._limits.retry_ms
-            except feed_lib.HistoryGoneError:
-                self._complete = False
-                self._log.event("store history gone", self._versions())
-            except feed_lib.FeedError as error:
-                self._note_failure(error)
-                await asyncio.sleep(
-                    self._retry_pause_ms(pause_ms)
-                    * self._rng.uniform(0.7, 1.3)
-                    / 1000
-                )
-                pause_ms = min(pause_ms * 2, self._limits.retry_max_ms)
-
-    async def _read_store(self) -> None:
-        if not self._complete:
-            self._use_snapshot(await self._feed.snapshot())
-            return
-        changes = await self._feed.changes(
-            self.directory.revision, self.watch_wait_ms()
-        )
-        self._use_changes(changes)
-        self._note_watching(True)
-        if changes.table or changes.changed or changes.gone:
-            # Further changes often follow; one call takes them all.
-            gap_ms = self._limits.watch_gap_ms
-            if self.duty.standby:
-                gap_ms = self._limits.standby_gap_ms
-            await asyncio.sleep(gap_ms / 1000)
-
-    def _retry_pause_ms(self, pause_ms: float) -> float:
-        if self.duty.designated or not self._complete:
-            return pause_ms
-        return max(pause_ms, self.duty.domain_size * STEPPED_IN_PAUSE_MS)
-
-    def watch_wait_ms(self) -> float:
-        """Returns how long the next watch waits.
-
-        Waits are spread widely: events end the watches of all watchers at the
-        same moment, and with equal waits they would also end together.
-        """
-        limits = self._limits
-        if self._failing:
-            # An answer at once tells that the store is back. A watch that it
-            # does not answer would hide its return until the end of the wait.
-            return 0.0
-        watchers = self.duty.domain_count * watchduty.WATCHERS_PER_DOMAIN
-        mean_ms = watchers / limits.watches_per_s * 1000
-        mean_ms = min(limits.watch_max_ms, max(limits.watch_min_ms, mean_ms))
-        return mean_ms * self._rng.uniform(0.3, 1.7)
-
     async def ask_seeds(self) -> None:
         """Asks the seeds once, when the store has not answered at the start."""
         for seed in self._settings.seeds:
@@ -175,28 +93,28 @@
             self.directory.lapsing(clock.monotonic_ms()),
         )
 
-    def sign(self, leaving: bool) -> frames.Sign:
+    def sign(self, has_store: bool) -> frames.Sign:
         """Returns the sign of life for the daemons that follow this one."""
         return frames.Sign(
-            self.has_store and not leaving,
-            self.table_version,
-            self.directory.revision,
+            has_store, self.table_version, self.directory.revision
         )
 
-    async def refresh(self) -> None:
-        """Asks a source what is new, after this process was stopped."""
+    async def refresh(self) -> bool:
+        """Asks the sources what is new, after this process was stopped.
+
+        Returns:
+          Whether one has answered.
+        """
         for host in self.duty.sources(clock.monotonic_ms()):
             if await self._fetch_from(host, self._settings.listen.peers.port):
-                return
+                return True
+        return False
 
     def on_source(self, host: str, frame: frames.Frame, now_ms: float) -> None:
         """Takes in what a daemon says that this one follows."""
         match frame:
             case frames.Sign():
                 self.duty.heard(host, frame.has_store, now_ms)
-                if frame.has_store and self._failing and not self._watching:
-                    self._failing = False
-                    self._log.event("store regained", f"through {host}")
                 self.on_peer_versions(
                     host, frame.table_version, frame.list_revision, now_ms
                 )
@@ -226,7 +144,6 @@
         state = await self._peers.fetch(host, port, request)
         if state is None:
             return False
-        self.on_contact()
         self._use_state(state, host)
         return True
 
@@ -235,14 +152,19 @@
         table, targets = state.table, state.targets
         if table is not None and not self._use_table(table, host):
             table = None
-        if targets is not None and not self.directory.take_over(
-            targets, state.list_revision, state.lapsing, clock.monotonic_ms()
-        ):
+        if state.list_revision <= self.directory.revision:
+            # Two watchers that follow each other would pass it on for ever.
             targets = None
         if targets is not None:
+            self.directory.take_over(
+                targets,
+                state.list_revision,
+                state.lapsing,
+                clock.monotonic_ms(),
+            )
             # Changes can be read from here on.
-            self._complete = self.index is not None
-            self._log.event("list in force", f"{self._versions()} from {host}")
+            self.complete = self.index is not None
+            self._log.event("list in force", f"{self.versions()} from {host}")
         if table is not None or targets is not None:
             self._changed()
             self.publish(
@@ -276,19 +198,26 @@
             self._changed()
             self.publish(frames.State(table, None, known, {}))
 
-    def _use_snapshot(self, snapshot: feed_lib.Snapshot) -> None:
-        after_outage = self._note_contact()
+    def use_snapshot(
+        self, snapshot: feed_lib.Snapshot, after_outage: bool
+    ) -> None:
+        """Takes in what the store publishes.
+
+        Args:
+          snapshot: Everything.
+          after_outage: Whether the store was away just before.
+        """
         now_ms = clock.monotonic_ms()
         table = snapshot.table
         if table is not None and not self._use_table(table, "store"):
             table = None
-        self._complete = True
+        self.complete = True
         targets = None
         if self.directory.replace(
             snapshot.targets, snapshot.revision, now_ms, after_outage
         ):
             targets = list(self.directory.targets)
-            self._log.event("list in force", f"{self._versions()} from store")
+            self._log.event("list in force", f"{self.versions()} from store")
         self._changed()
         self.publish(
             frames.State(
@@ -299,8 +228,15 @@
             )
         )
 
-    def _use_changes(self, changes: feed_lib.Changes) -> None:
-        after_outage = self._note_contact()
+    def use_changes(
+        self, changes: feed_lib.Changes, after_outage: bool
+    ) -> None:
+        """Takes in changes of the store.
+
+        Args:
+          changes: What has changed after the directory's revision.
+          after_outage: Whether the store was away just before.
+        """
         table = changes.table
         if table is not None and not self._use_table(table, "store"):
             table = None
@@ -366,36 +302,8 @@
         )
         return True
 
-    def _note_watching(self, watching: bool) -> None:
-        if watching == self._watching:
-            return
-        self._watching = watching
-        self._log.event(
-            "watching store" if watching else "following peers",
-            f"{self.duty.domain_size} daemons in the failure domain",
-        )
-
-    def _note_contact(self) -> bool:
-        """Notes an answer of the store.
-
-        Returns:
-          Whether it ends an outage. Only what this answer lacks may have
-          lapsed meanwhile; what goes later has left.
-        """
-        self.contact_ms = clock.monotonic_ms()
-        self.on_contact()
-        if not self._failing:
-            return False
-        self._failing = False
-        self._log.event("store regained", self._versions())
-        return True
-
-    def _note_failure(self, error: feed_lib.FeedError) -> None:
-        if not self._failing:
-            self._failing = True
-            self._log.event("store lost", f"{error}; {self._versions()}")
-
-    def _versions(self) -> str:
+    def versions(self) -> str:
+        """Returns the versions in force, for the log."""
         return (
             f"table {self.table_version}, list {self.directory.revision}, "
             f"{len(self.directory)} targets"
--- a/mimosahaven/mesh/report.py
+++ b/mimosahaven/mesh/report.py
@@ -12,7 +12,7 @@
     """Returns the present values for the metrics, by name."""
     gate = daemon.gate
     replica = daemon.replica
-    contact_ms = replica.contact_ms
+    contact_ms = daemon.store.contact_ms
     age_ms = -1.0 if contact_ms is None else clock.monotonic_ms() - contact_ms
     return {
         "ready": float(daemon.ready),
@@ -28,6 +28,8 @@
         "list_revision": replica.directory.revision,
         "targets": len(replica.directory),
         "store_contact_age_ms": age_ms,
+        "store_watching": float(daemon.store.has_store),
+        "followers": len(daemon.followers),
         "unreachable_peers": len(daemon.placement.unreachable_hosts()),
         "pauses": daemon.pause.pause_count,
         "log_lines_dropped": daemon.log.dropped_count,
