Refuse a request that has crashed three targets in a row

The platform allows three retries after the third crash.

Excluded: quarantine.py as it is. It lets one suspect run at a time, and a crash under load makes a suspect of each of 80 requests that were running.

Change: mesh/strikes.py counts the crashes of a request by its fingerprint (caller, method, path, body). A reset makes the runner open a connection; only a target that refuses it has crashed. Its daemon tells those beside targets of the same service what was running, and for how long: a crash counts if the run began after the last one was heard of, so that targets that crash together count once, and one success anywhere clears it.

Moved: the pings to unreachable peers to mesh/peerprobe.py.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -25,6 +25,7 @@
 from mimosahaven.mesh import listeners
 from mimosahaven.mesh import origin as origin_lib
 from mimosahaven.mesh import peerlink
+from mimosahaven.mesh import peerprobe
 from mimosahaven.mesh import placement as placement_lib
 from mimosahaven.mesh import records
 from mimosahaven.mesh import replica as replica_lib
@@ -71,6 +72,7 @@
         self.runner = runner_lib.Runner(
             settings, self.gate, self.in_flight, self.tasks, now_ms
         )
+        self.runner.tell_service = self._tell_service
         self.placement = placement_lib.Placement(
             settings.failure_domain, settings.target.host, rng
         )
@@ -87,6 +89,9 @@
         self.store = storewatch.StoreWatch(
             settings.store, feed, self.replica, self.log, rng
         )
+        self.probe = peerprobe.PeerProbe(
+            self.placement, self.peers, self.replica, self.log
+        )
         self.followers = following.Followers()
         self.subscriptions = following.Subscriptions(
             self.replica, self.peers, self.tasks
@@ -111,7 +116,6 @@
         self._active_ms = now_ms
         self._checked_ms = now_ms
         self._state_logged_ms = now_ms
-        self._probing = False
 
     @property
     def ready(self) -> bool:
@@ -313,6 +317,15 @@
             host, load.table_version, load.list_revision, now_ms
         )
 
+    def _tell_service(self, frame: frames.Frame) -> None:
+        """Sends a frame to the daemons beside targets of the same service."""
+        own_host = self.settings.target.host
+        for target in self.replica.directory.serving(self.settings.service):
+            if target.host != own_host:
+                self.tasks.spawn(self.peers.tell(target.host, frame))
+        if isinstance(frame, frames.Crash):
+            self.log.event("target crashed", f"{len(frame.ran_ms)} runs")
+
     def _learn_own_load(self, now_ms: float) -> None:
         host = self.settings.target.host
         self.placement.learn(host, self.load(), now_ms)
@@ -368,8 +381,7 @@
                 self.peers.expire(now_ms)
                 for connection in list(self._callers):
                     connection.check(now_ms)
-                if not self._probing:
-                    self.tasks.spawn(self._probe())
+                self.tasks.spawn(self.probe.run())
                 self._log_state(now_ms)
                 if self.settings_file and self.settings_file.has_changed():
                     self.reload()
@@ -380,25 +392,3 @@
         if now_ms - self._state_logged_ms >= STATE_LOG_MS:
             self._state_logged_ms = now_ms
             self.log.event("state", report.state_text(self))
-
-    async def _probe(self) -> None:
-        """Pings the peers that could not be reached."""
-        self._probing = True
-        try:
-            hosts = self.placement.unreachable_hosts()
-            results = await asyncio.gather(
-                *(
-                    self.peers.ping(
-                        host,
-                        self.replica.table_version,
-                        self.replica.directory.revision,
-                    )
-                    for host in hosts
-                )
-            )
-            for host, reached in zip(hosts, results, strict=True):
-                if reached:
-                    self.placement.set_reachable(host)
-                    self.log.event("peer regained", host)
-        finally:
-            self._probing = False
--- a/mimosahaven/mesh/frames.py
+++ b/mimosahaven/mesh/frames.py
@@ -246,6 +246,23 @@
     lapsing: dict[str, float]
 
 
+class Crash(_Frame):
+    """The target beside the sender has crashed.
+
+    Attributes:
+      ran_ms: Requests that it was running, by fingerprint, with the time for
+        which each had been running.
+    """
+
+    ran_ms: dict[str, float]
+
+
+class Clear(_Frame):
+    """A request that was running at a crash has succeeded since."""
+
+    fingerprint: str
+
+
 Frame = (
     Run
     | Accepted
@@ -263,6 +280,8 @@
     | Follow
     | Sign
     | News
+    | Crash
+    | Clear
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/mimosahaven/mesh/origin.py
+++ b/mimosahaven/mesh/origin.py
@@ -54,6 +54,8 @@
         Code.LINK_LOST,
     }
 )
+# Refusals of a daemon that hold at all others too.
+_FINAL = frozenset({Code.DEADLINE_BEFORE_RUN, Code.DISPLACED, Code.QUARANTINED})
 # Time for which a target that refused for one of these is not chosen.
 AVOID_MS = 300.0
 
@@ -211,7 +213,7 @@
                 self._budget.record_refusal(
                     context.service, clock.monotonic_ms()
                 )
-            elif code in (Code.DEADLINE_BEFORE_RUN, Code.DISPLACED):
+            elif code in _FINAL:
                 break
         return self._gave_up(context, code, unknown, trail.send_count)
 
--- a/mimosahaven/mesh/peerlink.py
+++ b/mimosahaven/mesh/peerlink.py
@@ -195,6 +195,13 @@
             connection.close()
         return frame if isinstance(frame, frames.State) else None
 
+    async def tell(self, host: str, frame: frames.Frame) -> None:
+        """Sends a frame that has no answer; a peer out of reach misses it."""
+        connection = await self._acquire(host)
+        if connection is not None:
+            connection.send(frame)
+            self._release(host, connection)
+
     async def follow(
         self,
         host: str,
--- /dev/null
+++ b/mimosahaven/mesh/peerprobe.py
@@ -0,0 +1,45 @@
+"""Pings the daemons of VMs that could not be reached, until they answer."""
+
+import asyncio
+
+from mimosahaven.mesh import eventlog
+from mimosahaven.mesh import peerlink
+from mimosahaven.mesh import placement as placement_lib
+from mimosahaven.mesh import replica as replica_lib
+
+
+class PeerProbe:
+    """Finds out when a VM can be reached again."""
+
+    def __init__(
+        self,
+        placement: placement_lib.Placement,
+        peers: peerlink.PeerPool,
+        replica: replica_lib.Replica,
+        log: eventlog.EventLog,
+    ):
+        self._placement = placement
+        self._peers = peers
+        self._replica = replica
+        self._log = log
+        self._running = False
+
+    async def run(self) -> None:
+        """Pings each of them once, unless this is already going on."""
+        if self._running:
+            return
+        self._running = True
+        try:
+            hosts = self._placement.unreachable_hosts()
+            results = await asyncio.gather(*map(self._ping, hosts))
+        finally:
+            self._running = False
+        for host, reached in zip(hosts, results, strict=True):
+            if reached:
+                self._placement.set_reachable(host)
+                self._log.event("peer regained", host)
+
+    async def _ping(self, host: str) -> bool:
+        return await self._peers.ping(
+            host, self._replica.table_version, self._replica.directory.revision
+        )
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -105,6 +105,10 @@
                 self._start(self._serve_inquiry(frame.send_id))
             case frames.Fetch():
                 self._write(node.state_beyond(frame))
+            case frames.Crash():
+                node.runner.on_crash(frame)
+            case frames.Clear():
+                node.runner.strikes.clear(frame.fingerprint)
             case frames.Follow():
                 state = node.state_beyond(frame)
                 if state.table is not None or state.targets is not None:
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -4,9 +4,11 @@
 import collections
 import dataclasses
 import functools
+from collections.abc import Callable
 
 from mimosahaven import clock
 from mimosahaven import codes
+from mimosahaven import identity
 from mimosahaven import tasks as tasks_lib
 from mimosahaven.mesh import answers
 from mimosahaven.mesh import frames
@@ -15,6 +17,7 @@
 from mimosahaven.mesh import inflight as inflight_lib
 from mimosahaven.mesh import outcomes
 from mimosahaven.mesh import settings as settings_lib
+from mimosahaven.mesh import strikes as strikes_lib
 from mimosahaven.mesh import targethealth
 from mimosahaven.mesh import targetpool
 
@@ -75,6 +78,11 @@
             settings.headers.attempt_id,
         )
         self.in_flight = in_flight
+        self.strikes = strikes_lib.Strikes()
+        self.tell_service: Callable[[frames.Frame], None] = lambda frame: None
+        # Runs that a reset has ended, until it is known whether the target
+        # has crashed, with their start.
+        self._broken: dict[str, float] = {}
         self._waiting: dict[gate_lib.Ticket, asyncio.Future] = {}
         self._running: dict[targetpool.TargetConnection, frames.Run] = {}
         self._once_sends: collections.OrderedDict[str, _OnceSend] = (
@@ -91,6 +99,8 @@
             return outcomes.Refused(self.refuse_code)
         if self.health.down:
             return outcomes.Refused(Code.TARGET_DOWN)
+        if self._is_held(send.run, now_ms):
+            return outcomes.Refused(Code.QUARANTINED)
         if not send.run.once:
             return await self._admit_and_run(send)
         send_id = send.run.send_id
@@ -204,6 +214,7 @@
                 return outcomes.Failed(Code.TIMEOUT)
             self.health.heard(clock.monotonic_ms())
             outcome = self._judge(stream)
+            self._learn_crash(run, stream, now_ms)
             if isinstance(outcome, outcomes.Answered):
                 service_ms = clock.monotonic_ms() - started_ms
                 stream.tree = {self._settings.service: 1.0}
@@ -235,6 +246,46 @@
                 self.pool.release(connection)
         self._finish(service_ms)
 
+    def on_crash(self, crash: frames.Crash) -> None:
+        """Takes in what ran at a target of the same service that crashed."""
+        now_ms = clock.monotonic_ms()
+        for fingerprint, ran_ms in crash.ran_ms.items():
+            self.strikes.strike(fingerprint, ran_ms, now_ms)
+
+    def _is_held(self, run: frames.Run, now_ms: float) -> bool:
+        return bool(self.strikes) and self.strikes.is_held(
+            _fingerprint(run), now_ms
+        )
+
+    def _learn_crash(
+        self, run: frames.Run, stream: answers.AnswerStream, started_ms: float
+    ) -> None:
+        """Takes in whether a run was reset, or has succeeded."""
+        if stream.failure is Code.TARGET_LOST:
+            # A reset may be a lost answer; only a target that accepts no
+            # connection has crashed.
+            self._broken[_fingerprint(run)] = started_ms
+            self._begin_probe()
+        elif stream.failure is None and stream.status < 300 and self.strikes:
+            fingerprint = _fingerprint(run)
+            if self.strikes.clear(fingerprint):
+                self.tell_service(frames.Clear(fingerprint))
+
+    def _note_crash(self) -> None:
+        """Tells the daemons of the service what ran at the crash."""
+        if not self._broken:
+            return
+        now_ms = clock.monotonic_ms()
+        crash = frames.Crash(
+            {
+                fingerprint: now_ms - started_ms
+                for fingerprint, started_ms in self._broken.items()
+            }
+        )
+        self._broken.clear()
+        self.on_crash(crash)
+        self.tell_service(crash)
+
     def _begin_probe(self) -> None:
         if not self.health.probing:
             self.health.probing = True
@@ -254,10 +305,12 @@
                 if isinstance(opened, targetpool.TargetConnection):
                     break
                 self.health.down = True
+                self._note_crash()
                 silent = opened is targetpool.ConnectFault.SILENT
                 if silent and self.health.is_silent(clock.monotonic_ms()):
                     self._fail_repeatable()
                 await asyncio.sleep(PROBE_PAUSE_S)
+            self._broken.clear()
             self.pool.release(opened)
         finally:
             self.health.recovered(clock.monotonic_ms())
@@ -292,3 +345,10 @@
         if stream.status < 300 and not signed:
             return outcomes.Failed(Code.ANSWER_TRUNCATED)
         return outcomes.Answered(stream)
+
+
+def _fingerprint(run: frames.Run) -> str:
+    """Returns what a request and its later copies have in common."""
+    return identity.fingerprint(
+        run.caller, "", run.method, run.path.decode("latin-1"), run.body
+    )
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -1,6 +1,7 @@
 """Requests through whole daemons, on loopback addresses of the run's own."""
 
 import asyncio
+import functools
 import json
 import pathlib
 import tempfile
@@ -569,6 +570,59 @@
         self.play(scene)
 
 
+class CrashingRequestTest(testtools.TestCase):
+    """A request crashes each target that begins it, and comes again."""
+
+    SENDS = 14
+
+    def test_it_reaches_few_targets_and_others_are_served(self):
+        runs, restarts = [], []
+
+        async def scene():
+            async def crash_on_poison(index, head, body, writer, number):
+                if "poison" not in head["path"]:
+                    await rawtarget.answer_ok(head, body, writer, number)
+                    return
+                runs.append(index)
+                fleet.raw[index].close()
+                writer.transport.abort()
+                restarts.append(asyncio.ensure_future(restart(index)))
+
+            async def restart(index):
+                await fleet_lib.until(
+                    lambda: fleet.daemons[index].runner.health.down
+                )
+                raw = fleet.raw[index]
+                await raw.start(fleet.hosts[index], fleet_lib.TARGET_PORT)
+
+            handlers = [
+                functools.partial(crash_on_poison, index) for index in range(5)
+            ]
+            services = ["ordre"] + ["katalog"] * 4
+            async with fleet_lib.Fleet(services, handlers) as fleet:
+                statuses = []
+                for number in range(self.SENDS):
+                    status, _, _ = await fleet.ask(
+                        attempt=f"p{number}", path="/x/poison"
+                    )
+                    statuses.append(status)
+                    await fleet_lib.until(
+                        lambda: (
+                            not any(
+                                daemon.runner.health.down
+                                for daemon in fleet.daemons[1:]
+                            )
+                        )
+                    )
+                self.assertEqual(503, statuses[-1])
+                # Three crashes and three more are allowed.
+                self.assertThat(len(runs), matchers.LessThan(7), runs)
+                status, _, _ = await fleet.ask(attempt="sound")
+                self.assertEqual(200, status)
+
+        asyncio.run(asyncio.wait_for(scene(), 30))
+
+
 class SettingsTest(testtools.TestCase):
     def test_changed_settings_are_read_and_faulty_ones_refused(self):
         async def scene(path):
