--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -570,6 +570,37 @@
         self.play(scene)
 
 
+class RefusingTargetsTest(testtools.TestCase):
+    """All targets of a service refuse a part of the runs."""
+
+    def test_a_request_goes_to_its_targets_until_one_takes_it(self):
+        targets = []
+
+        async def refuse_five_times(index, head, body, writer, number):
+            targets.append(index)
+            if len(targets) <= 5:
+                writer.write(
+                    b"HTTP/1.1 503 X\r\nMimosahaven-Attempt: r1\r\n"
+                    b"Mimosahaven-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                )
+                return
+            await rawtarget.answer_ok(head, body, writer, number)
+
+        async def scene():
+            handlers = [
+                functools.partial(refuse_five_times, index)
+                for index in range(4)
+            ]
+            services = ["ordre"] + ["katalog"] * 3
+            async with fleet_lib.Fleet(services, handlers) as fleet:
+                status, _, _ = await fleet.ask()
+                self.assertEqual(200, status)
+                # The route allows two targets for one request.
+                self.assertEqual(2, len(set(targets)))
+
+        asyncio.run(asyncio.wait_for(scene(), 30))
+
+
 class CrashingRequestTest(testtools.TestCase):
     """A request crashes each target that begins it, and comes again."""
 
