Try: judge a service by half of its capacity, and count waiting three times

Excluded: refusals of the targets themselves (none before second 13 in the logs).

Change: the threshold of a service is the one that half of its capacity (limit by mean time) is at or above; runs ahead beyond the limit count three times in the choice of a target.

The test that nothing is shed while one target has room stated the old rule. It is replaced by three: half of the capacity with room, and the case seen; both new ones fail with the old code.

--- a/mimosahaven/mesh/placement.py
+++ b/mimosahaven/mesh/placement.py
@@ -21,6 +21,12 @@
 AVOIDED_PENALTY_MS = 1e6
 # A target that was down is tried again after this time.
 DOWN_KEEP_MS = 500.0
+# Waiting counts this many times. By the expected end alone, a target three
+# times as fast as another has a queue of two limits before the other fills,
+# and displaces runs while that one has free slots.
+WAIT_FACTOR = 3.0
+# Part of the capacity of a service that may be below its threshold.
+THRESHOLD_SHARE = 0.5
 # Thresholds change within a few hundred ms.
 THRESHOLD_KEEP_MS = 1_000.0
 # Time of a run assumed when no target of the service has reported one.
@@ -119,10 +125,13 @@
     ) -> int:
         """Returns the shed threshold of a service.
 
-        A service is overloaded when all of its targets are: as long as one
-        has room, work moves there. Without a recent report there is none.
+        It is the one that half of the service's capacity is above or at, by
+        what its targets run in a time. A full target alone says little while
+        others have room, and neither does a slow one that is the last to fill:
+        the fast ones refuse work before it does. Without a recent report there
+        is none.
         """
-        lowest = None
+        reported: list[tuple[int, float]] = []
         for target in candidates:
             state = self.state(target)
             load = state.load
@@ -130,9 +139,15 @@
                 continue
             if load.limit == 0 or now_ms - state.load_ms > THRESHOLD_KEEP_MS:
                 continue
-            if lowest is None or load.threshold < lowest:
-                lowest = load.threshold
-        return lowest or 0
+            mean_ms = load.mean_ms or DEFAULT_MEAN_MS
+            reported.append((load.threshold, load.limit / mean_ms))
+        reported.sort()
+        left = sum(capacity for _, capacity in reported) * THRESHOLD_SHARE
+        for threshold, capacity in reported:
+            left -= capacity
+            if left <= 0:
+                return threshold
+        return 0
 
     def set_unreachable(self, host: str, now_ms: float) -> None:
         """Takes in that the VM of a target does not answer."""
@@ -228,7 +243,9 @@
         ahead = (others + state.outstanding) / limit
         # Up to the limit a run starts at once; the square spreads load before
         # a queue forms.
-        wait_share = ahead * ahead * 0.5 if ahead < 1 else ahead - 0.5
+        wait_share = ahead * ahead * 0.5
+        if ahead >= 1:
+            wait_share = 0.5 + (ahead - 1.0) * WAIT_FACTOR
         score = mean_ms * (1.0 + wait_share)
         score *= 1.0 + FAILURE_FACTOR * state.recent_failure_share(now_ms)
         if load is None and not state.outstanding:
