--- a/tests/mesh/test_placement.py
+++ b/tests/mesh/test_placement.py
@@ -103,7 +103,8 @@
                 )
                 placement.learn(host, load, 0.0)
             counts[placement.choose(targets, set(), 0.0).host] += 1
-        self.assertThat(counts["10.0.0.2"], matchers.GreaterThan(60))
+        # The queue at the fast one stays below the slots of one target.
+        self.assertThat(counts["10.0.0.1"], matchers.LessThan(2 * 80))
 
 
 class ThresholdTest(testtools.TestCase):
