--- /dev/null
+++ b/tests/platform/test_fakestore.py
@@ -0,0 +1,81 @@
+"""The stand-in of the store and the one client of the store agree."""
+
+import asyncio
+
+import testtools
+from mimosahaven_platform import store
+
+from mimosahaven.mesh import feed
+from mimosahaven.mesh import settings as settings_lib
+from mimosahaven.testing import ports
+from tests.mesh import samples
+from tests.platform import fakestore
+from tests.platform import writer
+
+HOST = "127.0.0.1"
+TABLE = samples.table(samples.route(), version=12)
+TARGET = samples.target()
+
+
+class FakeStoreTest(testtools.TestCase):
+    def play(self, scene):
+        async def whole():
+            hold = ports.PortHold()
+            self.addCleanup(hold.release)
+            [port] = hold.take(HOST)
+            fake = fakestore.FakeStore()
+            await fake.start(HOST, port)
+            client = store.StoreFeed(
+                settings_lib.StoreSettings(
+                    endpoint=f"{HOST}:{port}", read_timeout_ms=500
+                )
+            )
+            try:
+                await scene(fake, client)
+            finally:
+                await client.close()
+                await fake.stop()
+
+        asyncio.run(asyncio.wait_for(whole(), 30))
+
+    def test_what_is_written_is_read(self):
+        async def scene(fake, client):
+            await writer.put_table(fake, TABLE)
+            await writer.put_target(fake, TARGET)
+            snapshot = await client.snapshot()
+            self.assertEqual(TABLE, snapshot.table)
+            [target] = snapshot.targets
+            self.assertEqual(
+                (TARGET.target_id, TARGET.host, TARGET.slots, TARGET.state),
+                (target.target_id, target.host, target.slots, target.state),
+            )
+
+        self.play(scene)
+
+    def test_a_change_ends_a_watch(self):
+        async def scene(fake, client):
+            await writer.put_target(fake, TARGET)
+            before = (await client.snapshot()).revision
+            watch = asyncio.ensure_future(client.changes(before, 20_000))
+            await writer.remove_target(fake, TARGET.target_id)
+            changes = await watch
+            self.assertEqual([TARGET.target_id], changes.gone)
+
+        self.play(scene)
+
+    def test_faults_give_no_answer(self):
+        async def scene(fake, client):
+            for fault in fakestore.Fault:
+                fake.fault = fault
+                if fault is fakestore.Fault.NONE:
+                    await client.snapshot()
+                    continue
+                with testtools.ExpectedException(feed.FeedError):
+                    await client.snapshot()
+            fake.fault = fakestore.Fault.NONE
+            await writer.put_table(fake, TABLE)
+            fake.forget_history()
+            with testtools.ExpectedException(feed.HistoryGoneError):
+                await client.changes(1, 1_000)
+
+        self.play(scene)
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -11,14 +11,15 @@
 import sys
 import time
 
+from mimosahaven.mesh import records
 from mimosahaven.testing import forwarder as forwarder_lib
 from mimosahaven.testing import processes
 from tests.platform import fakestore
+from tests.platform import writer
 from tests.soak import seen as seen_lib
 from tests.soak import world as world_lib
 
 PROGRAM = processes.ROOT / "platform" / "daemon.py"
-VARIABLE = "MIMOSAHAVEN_SETTINGS"
 FAILURE_DOMAINS = 3
 CALLERS_PER_VM = 2
 GRACE_S = 6.0
@@ -148,40 +149,40 @@
         )
         await target.start()
         self.targets[vm] = target
-        await self._put_target(target, "ready")
+        await self._put_target(target, records.SERVING_STATE)
 
     async def _put_target(self, target: world_lib.Target, state: str) -> None:
-        entry = {
-            "service": target.service,
-            "address": f"{target.host}:{world_lib.TARGET_PORT}",
-            "zone": f"zone-{target.vm % FAILURE_DOMAINS}",
-            "version": "v1",
-            "slots": world_lib.SLOTS,
-            "state": state,
-            "cold_left_s": 0.0,
-            "seq": 1,
-            "born": 1_700_000_000_000,
-        }
-        await self.store.put(f"servers/{target.target_id}", entry)
+        await writer.put_target(
+            self.store,
+            records.Target(
+                target_id=target.target_id,
+                service=target.service,
+                host=target.host,
+                port=world_lib.TARGET_PORT,
+                failure_domain=_failure_domain(target.vm),
+                slots=world_lib.SLOTS,
+                state=state,
+            ),
+        )
 
     async def crash_target(self, vm: int) -> None:
         """Ends a target without notice; its entry lapses later."""
         target, self.targets[vm] = self.targets[vm], None
         target.crash()
         await asyncio.sleep(1.0)
-        await self.store.delete(f"servers/{target.target_id}")
+        await writer.remove_target(self.store, target.target_id)
 
     async def replace_target(self, vm: int) -> None:
         """Drains a target and starts another one at its address."""
         target = self.targets[vm]
-        await self._put_target(target, "draining")
+        await self._put_target(target, records.DRAINING_STATE)
         self.seen.leavings.append(
             seen_lib.Leaving(target.target_id, time.monotonic())
         )
         await asyncio.sleep(DRAIN_S + 0.5)
         self.targets[vm] = None
         target.crash()
-        await self.store.delete(f"servers/{target.target_id}")
+        await writer.remove_target(self.store, target.target_id)
         await asyncio.sleep(0.5)
         await self.start_target(vm)
 
@@ -191,48 +192,30 @@
         """Writes the next configuration; it moves the probed route."""
         self._version += 1
         version = self._version
-        columns = [
-            "name",
-            "host",
-            "prefix",
-            "kind",
-            "timeout_s",
-            "slo_s",
-            "priority",
-            "max_attempts",
-            "service",
-        ]
-        rows = []
+        routes = []
         for name, kind in world_lib.KINDS.items():
             prefix, service = kind.prefix, kind.service
             if name == world_lib.PROBE_KIND:
                 prefix = f"{prefix}{version}/"
                 service = self.rng.choice(world_lib.SERVICES)
-            rows.append(
-                [
-                    name,
-                    world_lib.HOST_HEADER,
-                    prefix,
-                    "non_idempotent" if kind.once else "idempotent",
-                    world_lib.DEADLINE_MS / 1000,
-                    1.0,
-                    kind.rank,
-                    world_lib.TARGETS_MAX,
-                    service,
-                ]
+            rule = records.RepeatRule.IDEMPOTENT
+            if kind.once:
+                rule = records.RepeatRule.ONCE
+            routes.append(
+                records.Route(
+                    name=name,
+                    host=world_lib.HOST_HEADER,
+                    prefix=prefix,
+                    repeat_rule=rule,
+                    timeout_ms=world_lib.DEADLINE_MS,
+                    objective_ms=world_lib.DEADLINE_MS / 2,
+                    rank=kind.rank,
+                    targets_max=world_lib.TARGETS_MAX,
+                    shares=(records.Share(service, 1.0),),
+                )
             )
-        config = {
-            "version": f"{version:08x}",
-            "routes": {"columns": columns, "rows": rows},
-            "services": {"columns": ["name"], "rows": []},
-            "limits": {
-                "max_header_bytes": 16_384,
-                "max_body_bytes": 1_000_000,
-                "header_timeout_s": 3,
-                "idle_timeout_s": 15,
-            },
-        }
-        await self.store.put("op/config", config)
+        table = records.RouteTable(version=version, routes=tuple(routes))
+        await writer.put_table(self.store, table)
         self.seen.tables.append((time.monotonic(), version))
 
     # Daemons.
@@ -242,7 +225,7 @@
         host = self.hosts[vm]
         settings = {
             "vm": f"vm-{vm}",
-            "failure_domain": f"zone-{vm % FAILURE_DOMAINS}",
+            "failure_domain": _failure_domain(vm),
             "service": world_lib.service_of(vm),
             "target": f"{host}:{world_lib.TARGET_PORT}",
             "listen": {
@@ -261,7 +244,7 @@
         with (self.folder / f"vm-{vm}.log").open("ab") as log:
             self.daemons[vm] = subprocess.Popen(
                 [sys.executable, str(PROGRAM)],
-                env=os.environ | {VARIABLE: str(path)},
+                env=os.environ | {writer.SETTINGS_VARIABLE: str(path)},
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -293,14 +276,14 @@
     async def _is_ready(self, vm: int) -> bool:
         try:
             async with asyncio.timeout(1.0):
-                reader, writer = await asyncio.open_connection(
+                reader, stream = await asyncio.open_connection(
                     self.hosts[vm], world_lib.READY_PORT
                 )
                 try:
-                    writer.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+                    stream.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n")
                     status, _ = await world_lib.read_answer(reader)
                 finally:
-                    writer.close()
+                    stream.close()
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return False
         return status == 200
@@ -313,3 +296,7 @@
             now_s = time.monotonic()
             if now_s - before_s > 0.05 + STALL_S:
                 self.seen.stalls.append(now_s)
+
+
+def _failure_domain(vm: int) -> str:
+    return f"domain-{vm % FAILURE_DOMAINS}"
