Import in a mesh daemon only what it uses

Cause: a profile of the imports of a follower on (resident memory after each import, on a bare interpreter of 13.3 MB): pydantic and the models of the settings 8 MB, aiohttp 10.6 MB (each daemon reads the store once at its start, so that each imports it), ssl 4.4 MB through asyncio, loguru 2 MB, json5 0.6 MB, and balancing, ejection, fleet and the settings of the action mode through decisions. The repository is read-only on the platform, so that every start also compiled all of our modules.

Change: the settings of the mesh are msgspec structs, which still report all faults at once; the store is read with the HTTP client that the mesh has for targets; the sink of the log, the log of unexpected exceptions and the error of the settings are modules of their own; ssl is not loaded; json5 and loguru are loaded when they are needed; the template of the settings is plain JSON with comments. Entries of the store that are ignored as invalid are now events of the daemon's log. pydantic, aiohttp, loguru and json5 stay in the product.

Excluded: the site module's own imports (0.2 MB beyond those needed anyway), and stripping of docstrings, which would compile the standard library anew.

--- a/mimosahaven/cli_daemon.py
+++ b/mimosahaven/cli_daemon.py
@@ -8,6 +8,7 @@
 
 import mimosahaven
 from mimosahaven import daemon as daemon_lib
+from mimosahaven import errors
 from mimosahaven import listening
 from mimosahaven import settings as settings_lib
 
@@ -36,7 +37,7 @@
     """Runs the daemon of one target."""
     try:
         settings = settings_lib.load(settings_path)
-    except settings_lib.SettingsError as error:
+    except errors.SettingsError as error:
         for fault in error.faults:
             click.echo(fault, err=True)
         sys.exit(EXIT_CHECK_FAILED)
--- a/mimosahaven/daemon.py
+++ b/mimosahaven/daemon.py
@@ -24,6 +24,7 @@
 from mimosahaven import lifecycle as lifecycle_lib
 from mimosahaven import links as links_lib
 from mimosahaven import listening
+from mimosahaven import logsink
 from mimosahaven import membership as membership_lib
 from mimosahaven import messagehandler
 from mimosahaven import metrics as metrics_lib
@@ -74,7 +75,7 @@
 
     def _make_observability(self) -> None:
         settings = self.settings
-        self.sink = decisions.NonBlockingSink(sys.stderr.fileno())
+        self.sink = logsink.NonBlockingSink(sys.stderr.fileno())
         self.log = decisions.DecisionLog(settings.log, self.sink)
         self.metrics = metrics_lib.Metrics(
             settings.metrics, settings.target.name
--- a/mimosahaven/decisions.py
+++ b/mimosahaven/decisions.py
@@ -3,8 +3,6 @@
 import collections
 import enum
 import functools
-import os
-import select
 import time
 from collections.abc import Callable
 
@@ -18,9 +16,6 @@
 # A loguru call costs several times as much as formatting the line. Lines are
 # therefore written in batches, at each tick or when this many are pending.
 _BATCH_LINES = 64
-# A pipe that polls as writable accepts this many bytes without blocking
-# (PIPE_BUF on Linux).
-_CHUNK_BYTES = 4_096
 _CODE_TEXTS = {int(code): f"{int(code)} {code.name}" for code in codes.Code}
 _LEVELS = {"DEBUG": 10, "INFO": 20, "WARNING": 30, "ERROR": 40}
 
@@ -81,44 +76,6 @@
     return msgspec.json.encode(page)
 
 
-class NonBlockingSink:
-    """Writes lines to a file descriptor and drops lines that would block.
-
-    A stalled reader of the log must not block the daemon.
-
-    Attributes:
-      dropped_count: Number of lines dropped so far.
-    """
-
-    def __init__(self, descriptor: int):
-        self._descriptor = descriptor
-        self._poll = select.poll()
-        self._poll.register(descriptor, select.POLLOUT)
-        self.dropped_count = 0
-
-    def __call__(self, text: str) -> None:
-        """Writes text that consists of whole lines."""
-        data = text.encode(errors="replace")
-        start = 0
-        while start < len(data):
-            end = len(data)
-            if end - start > _CHUNK_BYTES:
-                cut = data.rfind(b"\n", start, start + _CHUNK_BYTES) + 1
-                end = cut or start + _CHUNK_BYTES
-            if not self._write(data[start:end]):
-                self.dropped_count += data.count(b"\n", start)
-                return
-            start = end
-
-    def _write(self, chunk: bytes) -> bool:
-        if not self._poll.poll(0):
-            return False
-        try:
-            return os.write(self._descriptor, chunk) == len(chunk)
-        except OSError:
-            return False
-
-
 class DecisionLog:
     """Logs decisions and retains the most recent ones.
 
--- a/mimosahaven/errors.py
+++ b/mimosahaven/errors.py
@@ -15,3 +15,16 @@
         super().__init__(f"{int(code)} {code.name}: {text}")
         self.code = code
         self.detail = text
+
+
+class SettingsError(MimosahavenError):
+    """Invalid settings.
+
+    Attributes:
+      faults: One line for each fault: file, field, value and what is
+        allowed.
+    """
+
+    def __init__(self, faults: list[str]):
+        super().__init__(codes.Code.SETTINGS_INVALID, "; ".join(faults))
+        self.faults = faults
--- a/mimosahaven/mesh/callerserver.py
+++ b/mimosahaven/mesh/callerserver.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 
 import httptools
-from loguru import logger
 
 from mimosahaven import clock
 from mimosahaven import codes
+from mimosahaven import errorlog
 from mimosahaven.mesh import flowcontrol
 from mimosahaven.mesh import http1
 from mimosahaven.mesh import records
@@ -265,8 +265,8 @@
         try:
             exchange.response = await self._handler.handle(request)
         except Exception as error:  # noqa: BLE001 - keeps the connection
-            logger.opt(exception=error).error(
-                "callers: unhandled exception while serving a request"
+            errorlog.log_exception(
+                "callers: unhandled exception while serving a request", error
             )
             exchange.response = self._handler.refuse(Code.INTERNAL)
         if self._lost:
--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -6,12 +6,14 @@
 import signal
 import sys
 
+import msgspec
+
 from mimosahaven import clock
 from mimosahaven import codes
-from mimosahaven import decisions
+from mimosahaven import errors
 from mimosahaven import gctuning
+from mimosahaven import logsink
 from mimosahaven import pause as pause_lib
-from mimosahaven import settings as settings_base
 from mimosahaven import shedding
 from mimosahaven import tasks as tasks_lib
 from mimosahaven.mesh import admission as admission_lib
@@ -64,7 +66,7 @@
         self.tasks = tasks_lib.BackgroundTasks()
         rng = random.Random()
         self.log = eventlog.EventLog(
-            settings.vm, decisions.NonBlockingSink(sys.stdout.fileno())
+            settings.vm, logsink.NonBlockingSink(sys.stdout.fileno())
         )
         now_ms = clock.monotonic_ms()
         self.pause_detector = pause_lib.PauseDetector(settings)
@@ -244,7 +246,7 @@
         """
         try:
             settings = self.settings_file.read()
-        except settings_base.SettingsError as error:
+        except errors.SettingsError as error:
             self.log.event(
                 "settings refused", "; ".join(error.faults), int(error.code)
             )
@@ -255,7 +257,7 @@
             bounds.resend_slack,
             bounds.resend_window_s * 1000,
         )
-        self.settings = self.settings.model_copy(update={"bounds": bounds})
+        self.settings = msgspec.structs.replace(self.settings, bounds=bounds)
         self.log.event("settings read", str(bounds))
 
     async def start(self) -> None:
--- a/mimosahaven/mesh/eventlog.py
+++ b/mimosahaven/mesh/eventlog.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from mimosahaven import codes
-from mimosahaven import decisions
+from mimosahaven import logsink
 from mimosahaven.mesh import metrics as metrics_lib
 
 # Limits on lines per second. The one for responses is lower, so that they are
@@ -44,7 +44,7 @@
       sink: Receives the text of complete lines.
     """
 
-    def __init__(self, vm: str, sink: decisions.NonBlockingSink):
+    def __init__(self, vm: str, sink: logsink.NonBlockingSink):
         self._vm = vm
         self._sink = sink
         self._encoder = msgspec.json.Encoder()
--- a/mimosahaven/mesh/feed.py
+++ b/mimosahaven/mesh/feed.py
@@ -1,6 +1,7 @@
 """Interface to the routes and targets published by the platform's store."""
 
 import typing
+from collections.abc import Sequence
 
 from mimosahaven.mesh import records
 
@@ -20,11 +21,13 @@
       revision: Store revision.
       table: The routes, or None if there are none yet.
       targets: All targets.
+      faults: One line for each entry that was ignored as invalid.
     """
 
     revision: int
     table: records.RouteTable | None
     targets: list[records.Target]
+    faults: Sequence[str] = ()
 
 
 class Changes(typing.NamedTuple):
@@ -35,12 +38,14 @@
       table: The latest routes if they have changed, or None.
       changed: New or changed targets.
       gone: IDs of removed targets.
+      faults: One line for each entry that was ignored as invalid.
     """
 
     revision: int
     table: records.RouteTable | None
     changed: list[records.Target]
     gone: list[str]
+    faults: Sequence[str] = ()
 
 
 class Feed(typing.Protocol):
--- a/mimosahaven/mesh/httpclient.py
+++ b/mimosahaven/mesh/httpclient.py
@@ -1,4 +1,4 @@
-"""Connections to the local target."""
+"""HTTP client for the local target and for the platform's store."""
 
 import asyncio
 import collections
@@ -16,11 +16,11 @@
 Code = codes.Code
 
 # The target is on the same VM; only a full accept queue can delay a connection.
-CONNECT_TIMEOUT_S = 0.5
-# Idle connections are closed this long before the target would close them, so
-# that no request is sent while the target is closing.
+CONNECT_TIMEOUT_MS = 500.0
+# Idle connections are closed this long before the server would close them, so
+# that no request is sent while the server is closing.
 IDLE_MARGIN_MS = 1_000.0
-# Keep-alive timeout assumed for a target that does not announce one.
+# Keep-alive timeout assumed for a server that does not announce one.
 KEEP_ALIVE_TIMEOUT_DEFAULT_MS = 4_000.0
 
 
@@ -31,13 +31,13 @@
     TIMED_OUT = "no answer"
 
 
-class TargetConnection(asyncio.Protocol):
-    """A connection to the target, with one request at a time.
+class ClientConnection(asyncio.Protocol):
+    """A connection to a server, with one request at a time.
 
     Attributes:
       usable: Whether another request may be sent on the connection.
       idle_since_ms: When the last exchange ended.
-      keep_alive_timeout_ms: Keep-alive timeout of the target.
+      keep_alive_timeout_ms: Keep-alive timeout of the server.
     """
 
     def __init__(self, attempt_header: bytes):
@@ -57,9 +57,15 @@
         self.keep_alive_timeout_ms = KEEP_ALIVE_TIMEOUT_DEFAULT_MS
 
     def send(
-        self, data: bytes, attempt_id: bytes, is_head: bool
+        self, data: bytes, attempt_id: bytes = b"", is_head: bool = False
     ) -> responsestream.ResponseStream:
-        """Sends a request and returns the stream for its response."""
+        """Sends a request and returns the stream for its response.
+
+        Args:
+          data: The encoded request.
+          attempt_id: The ID that the server echoes, if it does.
+          is_head: Whether this is a HEAD request.
+        """
         stream = responsestream.ResponseStream()
         stream.on_pause = functools.partial(
             flowcontrol.set_reading_paused, self._transport
@@ -88,7 +94,7 @@
         return bool(self._transport.get_write_buffer_size())
 
     def close(self) -> None:
-        """Closes the connection at once, so that the target stops its work."""
+        """Closes the connection at once, so that the server stops its work."""
         self.usable = False
         if self._transport is not None:
             self._transport.abort()
@@ -105,7 +111,7 @@
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
-        """Parses bytes from the target."""
+        """Parses bytes from the server."""
         if self._done:
             # No request is outstanding, so that the data is unsolicited.
             self.close()
@@ -222,22 +228,30 @@
                 self.keep_alive_timeout_ms = int(number) * 1000.0
 
 
-class TargetPool:
-    """Pool of connections to the local target.
+class ClientPool:
+    """Pool of connections to one server.
 
     Args:
-      host: IP address of the target.
-      port: Port of the target.
-      attempt_header: Header in which the target echoes the attempt ID.
+      host: IP address of the server.
+      port: Port of the server.
+      attempt_header: Header in which the server echoes the attempt ID, or "".
+      connect_timeout_ms: Timeout for opening a connection.
     """
 
-    def __init__(self, host: str, port: int, attempt_header: str):
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        attempt_header: str = "",
+        connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
+    ):
         self._host, self._port = host, port
+        self._connect_timeout_ms = connect_timeout_ms
         self._attempt_header = attempt_header.encode()
-        self._idle: collections.deque[TargetConnection] = collections.deque()
+        self._idle: collections.deque[ClientConnection] = collections.deque()
         self.opened_count = 0
 
-    async def acquire(self, now_ms: float) -> TargetConnection | ConnectFailure:
+    async def acquire(self, now_ms: float) -> ClientConnection | ConnectFailure:
         """Returns a connection, or the reason why none can be opened.
 
         The most recently used connection is reused first, so that surplus ones
@@ -251,14 +265,14 @@
             connection.close()
         return await self.open()
 
-    async def open(self) -> TargetConnection | ConnectFailure:
+    async def open(self) -> ClientConnection | ConnectFailure:
         """Opens a connection, or returns the reason for the failure."""
         loop = asyncio.get_running_loop()
         self.opened_count += 1
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(self._connect_timeout_ms / 1000):
                 _, connection = await loop.create_connection(
-                    lambda: TargetConnection(self._attempt_header),
+                    lambda: ClientConnection(self._attempt_header),
                     self._host,
                     self._port,
                 )
@@ -268,7 +282,7 @@
             return ConnectFailure.REFUSED
         return connection
 
-    def release(self, connection: TargetConnection) -> None:
+    def release(self, connection: ClientConnection) -> None:
         """Returns a connection to the pool after its exchange."""
         if connection.usable and not connection.has_unsent_data:
             self._idle.append(connection)
@@ -281,7 +295,7 @@
             self._idle.pop().close()
 
     def expire(self, now_ms: float) -> None:
-        """Closes idle connections that the target is about to close."""
+        """Closes idle connections that the server is about to close."""
         idle = self._idle
         while idle and not idle[0].is_reusable(now_ms):
             idle.popleft().close()
--- a/mimosahaven/mesh/listeners.py
+++ b/mimosahaven/mesh/listeners.py
@@ -4,10 +4,10 @@
 import typing
 
 from mimosahaven import listening
-from mimosahaven import settings as settings_base
 from mimosahaven.mesh import adminpages
 from mimosahaven.mesh import callerserver
 from mimosahaven.mesh import peerserver
+from mimosahaven.mesh import settings as settings_lib
 
 if typing.TYPE_CHECKING:
     from mimosahaven.mesh import daemon as daemon_lib
@@ -36,7 +36,7 @@
         (lambda: callerserver.CallerConnection(readiness), listen.readiness),
     ]
     if listen.metrics_port:
-        address = settings_base.Endpoint(
+        address = settings_lib.Address(
             host=daemon.settings.target.host, port=listen.metrics_port
         )
         listeners.append(
--- a/mimosahaven/mesh/replica.py
+++ b/mimosahaven/mesh/replica.py
@@ -1,6 +1,7 @@
 """Local replica of routes and targets, fed by the store and by peers."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from mimosahaven import clock
 from mimosahaven import codes
@@ -220,6 +221,7 @@
           after_outage: Whether the store has just returned from an outage.
         """
         now_ms = clock.monotonic_ms()
+        self._log_faults(snapshot.faults)
         table = snapshot.table
         if table is not None and not self._apply_table(table, "store"):
             table = None
@@ -251,6 +253,7 @@
           changes: Changes since the directory's revision.
           after_outage: Whether the store has just returned from an outage.
         """
+        self._log_faults(changes.faults)
         table = changes.table
         if table is not None and not self._apply_table(table, "store"):
             table = None
@@ -281,6 +284,10 @@
             )
         )
 
+    def _log_faults(self, faults: Sequence[str]) -> None:
+        for fault in faults:
+            self._log.event("entry ignored", fault)
+
     def _notify_change(self) -> None:
         self.watcher_selection.set_targets(self.directory.targets)
         self.on_change()
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -14,12 +14,12 @@
 from mimosahaven.mesh import crashtracker as crashtracker_lib
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import http1
+from mimosahaven.mesh import httpclient
 from mimosahaven.mesh import inflight as inflight_lib
 from mimosahaven.mesh import outcomes
 from mimosahaven.mesh import responsestream
 from mimosahaven.mesh import settings as settings_lib
 from mimosahaven.mesh import targethealth
-from mimosahaven.mesh import targetpool
 
 Code = codes.Code
 
@@ -86,7 +86,7 @@
         self._not_run_header = settings.headers.not_run.lower().encode()
         self._signature_header = settings.headers.signature.lower().encode()
         self.admission = admission
-        self.pool = targetpool.TargetPool(
+        self.pool = httpclient.ClientPool(
             settings.target.host,
             settings.target.port,
             settings.headers.attempt_id,
@@ -100,7 +100,7 @@
         self._pending_decisions: dict[
             admission_lib.AdmissionRequest, asyncio.Future
         ] = {}
-        self._running: dict[targetpool.TargetConnection, frames.Run] = {}
+        self._running: dict[httpclient.ClientConnection, frames.Run] = {}
         self._at_most_once_sends: collections.OrderedDict[
             str, _AtMostOnceSend
         ] = collections.OrderedDict()
@@ -225,7 +225,7 @@
         connection = None
         try:
             acquired = await self.pool.acquire(started_ms)
-            if isinstance(acquired, targetpool.ConnectFailure):
+            if isinstance(acquired, httpclient.ConnectFailure):
                 self._start_probe()
                 return outcomes.Refused(Code.TARGET_DOWN)
             connection = acquired
@@ -267,7 +267,7 @@
 
     def _end_run(
         self,
-        connection: targetpool.TargetConnection | None,
+        connection: httpclient.ClientConnection | None,
         parent: inflight_lib.ParentRequest,
         service_ms: float | None,
     ) -> None:
@@ -339,11 +339,11 @@
         try:
             while True:
                 opened = await self.pool.open()
-                if isinstance(opened, targetpool.TargetConnection):
+                if isinstance(opened, httpclient.ClientConnection):
                     break
                 self.health.down = True
                 self._report_crash()
-                timed_out = opened is targetpool.ConnectFailure.TIMED_OUT
+                timed_out = opened is httpclient.ConnectFailure.TIMED_OUT
                 if timed_out and self.health.is_unresponsive(
                     clock.monotonic_ms()
                 ):
--- a/mimosahaven/mesh/settings.py
+++ b/mimosahaven/mesh/settings.py
@@ -1,33 +1,51 @@
-"""Settings of a mesh daemon, read from a JSON5 file."""
+"""Settings of a mesh daemon, read from JSON with comments.
+
+The models are msgspec structs and not pydantic models: a daemon runs on each
+VM, and importing pydantic and building its models takes 8 MB of memory.
+"""
 
 import pathlib
+import socket
+import typing
 from typing import Annotated
+from typing import Any
 
-import pydantic
+import msgspec
 
-from mimosahaven import settings as settings_lib
+from mimosahaven import errors
 from mimosahaven import tabletext
 
-SettingsModel = settings_lib.SettingsModel
-PositiveMs = settings_lib.PositiveMs
-PositiveS = Annotated[float, pydantic.Field(gt=0, le=3_600)]
-Ratio = Annotated[float, pydantic.Field(ge=0, le=1)]
+PositiveMs = Annotated[float, msgspec.Meta(gt=0, le=3_600_000)]
+PositiveS = Annotated[float, msgspec.Meta(gt=0, le=3_600)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=10_000_000)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+# 0 stands for no port.
+OptionalPort = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+
 
+class SettingsStruct(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Base class of the sections of the settings."""
 
-def _parse_address(value: object) -> object:
-    if not isinstance(value, str):
-        return value
-    host, _, port = value.rpartition(":")
-    return {"host": host, "port": port}
 
+class Address(SettingsStruct):
+    """An IPv4 address and a port, written as "IP:PORT" or as two fields."""
 
-# An address may be written as "IP:PORT".
-Address = Annotated[
-    settings_lib.Endpoint, pydantic.BeforeValidator(_parse_address)
-]
+    host: str
+    port: Port
 
+    def __post_init__(self):
+        try:
+            socket.inet_pton(socket.AF_INET, self.host)
+        except OSError:
+            raise ValueError(f"{self.host!r}: not an IPv4 address") from None
 
-class HeaderNames(SettingsModel):
+
+class HeaderNames(SettingsStruct):
     """Names of the HTTP headers that the mesh reads and sets."""
 
     attempt_id: str = "Mimosahaven-Attempt"
@@ -38,7 +56,7 @@
     caller: str = "Mimosahaven-Caller"
 
 
-class ListenSettings(SettingsModel):
+class ListenSettings(SettingsStruct):
     """Addresses on which the daemon listens.
 
     Attributes:
@@ -53,10 +71,10 @@
     peers: Address
     readiness: Address
     readiness_path: str = "/readiness"
-    metrics_port: Annotated[int, pydantic.Field(ge=0, le=65535)] = 0
+    metrics_port: OptionalPort = 0
 
 
-class BoundSettings(SettingsModel):
+class BoundSettings(SettingsStruct):
     """Bounds that the platform's operators guarantee or require.
 
     Attributes:
@@ -69,10 +87,10 @@
     grace_s: PositiveS = 6.0
     resend_ratio: Ratio = 0.2
     resend_window_s: PositiveS = 10.0
-    resend_slack: Annotated[float, pydantic.Field(ge=0)] = 40.0
+    resend_slack: NotNegative = 40.0
 
 
-class PeerSettings(SettingsModel):
+class PeerSettings(SettingsStruct):
     """Connections between daemons.
 
     Attributes:
@@ -99,7 +117,7 @@
     probe_ms: PositiveMs = 500
 
 
-class StoreSettings(SettingsModel):
+class StoreSettings(SettingsStruct):
     """Reads and watches of the platform's store.
 
     Attributes:
@@ -118,7 +136,7 @@
     """
 
     endpoint: Address
-    watches_per_s: Annotated[float, pydantic.Field(gt=0)] = 8.0
+    watches_per_s: Positive = 8.0
     watch_gap_ms: PositiveMs = 100
     standby_gap_ms: PositiveMs = 400
     watch_min_ms: PositiveMs = 500
@@ -128,7 +146,40 @@
     retry_max_ms: PositiveMs = 800
 
 
-class MeshSettings(SettingsModel):
+class SheddingSettings(SettingsStruct):
+    """Thresholds of other services, as known to this daemon.
+
+    Attributes:
+      expiry_ms: Time after which a received threshold expires.
+      probe_one_in: One in this many shed requests is let through.
+    """
+
+    expiry_ms: PositiveMs = 1_000
+    probe_one_in: Count = 50
+
+
+class PauseSettings(SettingsStruct):
+    """Detection of pauses of the daemon's process.
+
+    Attributes:
+      gap_ms: Gap between events that counts as a pause.
+      backlog_ms: Time after a pause when requests of callers are refused.
+      refresh_wait_ms: Longest refusal of new runs after a pause.
+    """
+
+    gap_ms: PositiveMs = 1_000
+    backlog_ms: PositiveMs = 200
+    refresh_wait_ms: PositiveMs = 500
+
+
+class MechanismSettings(SettingsStruct):
+    """Switches that turn off single mechanisms, for differential tests."""
+
+    shed_at_entry: bool = True
+    pause_detector: bool = True
+
+
+class MeshSettings(SettingsStruct, forbid_unknown_fields=False):
     """All settings of one mesh daemon.
 
     Attributes:
@@ -140,8 +191,6 @@
       seeds: Peers to ask for routes and targets while the store is unavailable.
     """
 
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
-
     vm: str
     failure_domain: str
     service: str
@@ -149,16 +198,13 @@
     listen: ListenSettings
     store: StoreSettings
     seeds: tuple[Address, ...] = ()
-    slots_default: settings_lib.Count = 8
+    slots_default: Count = 8
     headers: HeaderNames = HeaderNames()
     bounds: BoundSettings = BoundSettings()
     peers: PeerSettings = PeerSettings()
-    shedding: settings_lib.SheddingSettings = settings_lib.SheddingSettings()
-    pause: settings_lib.PauseSettings = settings_lib.PauseSettings()
-    mechanisms: settings_lib.MechanismSettings = (
-        settings_lib.MechanismSettings()
-    )
-    log: settings_lib.LogSettings = settings_lib.LogSettings(format="json")
+    shedding: SheddingSettings = SheddingSettings()
+    pause: PauseSettings = PauseSettings()
+    mechanisms: MechanismSettings = MechanismSettings()
 
 
 def load(path: pathlib.Path) -> MeshSettings:
@@ -169,17 +215,75 @@
     """
     try:
         raw = tabletext.parse_document(path.read_text())
-        return MeshSettings.model_validate(raw)
-    except OSError as error:
-        raise settings_lib.SettingsError([f"{path}: {error}"]) from error
-    except pydantic.ValidationError as error:
-        faults = [
-            f"{path}: {'.'.join(map(str, fault['loc']))}: {fault['msg']}"
-            for fault in error.errors()
-        ]
-        raise settings_lib.SettingsError(faults) from error
+        return convert(raw, MeshSettings)
+    except (OSError, ValueError) as error:
+        raise errors.SettingsError([f"{path}: {error}"]) from error
+    except errors.SettingsError as error:
+        faults = [f"{path}: {fault}" for fault in error.faults]
+        raise errors.SettingsError(faults) from error
+
+
+def convert(raw: Any, model: type[SettingsStruct]) -> Any:
+    """Validates a decoded document and returns it as a settings struct.
+
+    Raises:
+      SettingsError: The document is invalid; the error has all faults.
+    """
+    faults: list[str] = []
+    settings = _convert_section(raw, model, "", faults)
+    if faults:
+        raise errors.SettingsError(faults)
+    return settings
+
+
+def _convert_section(
+    raw: Any, model: type[SettingsStruct], path: str, faults: list[str]
+) -> SettingsStruct | None:
+    if model is Address and isinstance(raw, str):
+        host, _, port = raw.rpartition(":")
+        raw = {"host": host, "port": int(port) if port.isdecimal() else port}
+    if not isinstance(raw, dict):
+        faults.append(f"{path or '(document)'}: {raw!r}: not an object")
+        return None
+    known_faults = len(faults)
+    prefix = f"{path}." if path else ""
+    fields = msgspec.structs.fields(model)
+    values = {}
+    for field in fields:
+        if field.name in raw:
+            values[field.name] = _convert_value(
+                raw[field.name], field.type, prefix + field.name, faults
+            )
+        elif field.required:
+            faults.append(f"{prefix}{field.name}: missing")
+    if model.__struct_config__.forbid_unknown_fields:
+        for name in sorted(raw.keys() - {field.name for field in fields}):
+            faults.append(f"{prefix}{name}: unknown field")
+    if len(faults) > known_faults:
+        return None
+    try:
+        return model(**values)
     except ValueError as error:
-        raise settings_lib.SettingsError([f"{path}: {error}"]) from error
+        faults.append(f"{path}: {error}")
+        return None
+
+
+def _convert_value(
+    raw: Any, value_type: Any, path: str, faults: list[str]
+) -> Any:
+    if isinstance(value_type, type) and issubclass(value_type, SettingsStruct):
+        return _convert_section(raw, value_type, path, faults)
+    if typing.get_origin(value_type) is tuple and isinstance(raw, list | tuple):
+        item_type = typing.get_args(value_type)[0]
+        return tuple(
+            _convert_value(item, item_type, f"{path}.{index}", faults)
+            for index, item in enumerate(raw)
+        )
+    try:
+        return msgspec.convert(raw, value_type)
+    except msgspec.ValidationError as error:
+        faults.append(f"{path}: {raw!r}: {error}")
+        return None
 
 
 class SettingsFile:
--- a/mimosahaven/pause.py
+++ b/mimosahaven/pause.py
@@ -1,8 +1,12 @@
 """Detection of pauses of this process."""
 
 import enum
+import typing
 
-from mimosahaven import settings as settings_lib
+if typing.TYPE_CHECKING:
+    # Not imported at run time: the settings of the action mode take memory
+    # that the mesh daemon does not need.
+    from mimosahaven import settings as settings_lib
 
 
 class State(enum.Enum):
@@ -26,7 +30,7 @@
       resumed_ms: End of the last pause, or None.
     """
 
-    def __init__(self, settings: settings_lib.Settings):
+    def __init__(self, settings: "settings_lib.Settings"):
         self._settings = settings.pause
         self._enabled = settings.mechanisms.pause_detector
         self._last_check_ms: float | None = None
--- a/mimosahaven/settings.py
+++ b/mimosahaven/settings.py
@@ -8,23 +8,9 @@
 import json5
 import pydantic
 
-from mimosahaven import codes
 from mimosahaven import errors
 
 
-class SettingsError(errors.MimosahavenError):
-    """Invalid settings.
-
-    Attributes:
-      faults: One line for each fault: file, field, value and what is
-        allowed.
-    """
-
-    def __init__(self, faults: list[str]):
-        super().__init__(codes.Code.SETTINGS_INVALID, "; ".join(faults))
-        self.faults = faults
-
-
 def _check_ip_address(value: str) -> str:
     ipaddress.ip_address(value)
     return value
@@ -274,11 +260,11 @@
     try:
         raw = json5.loads(text)
     except ValueError as error:
-        raise SettingsError([f"{file_name}: {error}"]) from error
+        raise errors.SettingsError([f"{file_name}: {error}"]) from error
     try:
         return Settings.model_validate(raw)
     except pydantic.ValidationError as error:
-        raise SettingsError(
+        raise errors.SettingsError(
             [_format_fault(file_name, fault) for fault in error.errors()]
         ) from error
 
@@ -297,5 +283,5 @@
     try:
         text = path.read_text(encoding="utf-8")
     except OSError as error:
-        raise SettingsError([f"{path}: {error.strerror}"]) from error
+        raise errors.SettingsError([f"{path}: {error.strerror}"]) from error
     return parse(text, str(path))
--- a/mimosahaven/shedding.py
+++ b/mimosahaven/shedding.py
@@ -3,10 +3,15 @@
 import collections
 import dataclasses
 import math
+import typing
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-from mimosahaven import settings as settings_lib
+if typing.TYPE_CHECKING:
+    # Not imported at run time: the settings of the action mode take memory
+    # that the mesh daemon does not need.
+    from mimosahaven import settings as settings_lib
+
 
 # Smallest decrement of the threshold: 1/64 of the priority range of one weight,
 # so that a threshold within that range is lowered gradually.
@@ -143,7 +148,7 @@
 class ThresholdMap:
     """Shed thresholds of downstream services, as known upstream."""
 
-    def __init__(self, settings: settings_lib.Settings):
+    def __init__(self, settings: "settings_lib.Settings"):
         self._settings = settings.shedding
         self._enabled = settings.mechanisms.shed_at_entry
         self._reports: dict[str, _ThresholdReport] = {}
--- a/mimosahaven/tabletext.py
+++ b/mimosahaven/tabletext.py
@@ -4,8 +4,6 @@
 import re
 from typing import Any
 
-import json5
-
 # Each attempt needs at least this much of the row's deadline.
 ATTEMPT_MIN_MS = 1.0
 # The json5 parser took 0.9 s for 64 KB. Above this size its better error
@@ -33,6 +31,9 @@
             raise
     except RecursionError as error:
         raise ValueError("nested too deeply") from error
+    # Imported here, as most documents do not need its parser.
+    import json5
+
     return json5.loads(text, allow_duplicate_keys=False)
 
 
--- a/mimosahaven/tasks.py
+++ b/mimosahaven/tasks.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 
-from loguru import logger
+from mimosahaven import errorlog
 
 
 class BackgroundTasks:
@@ -43,8 +43,8 @@
         self._tasks.discard(task)
         if task.cancelled() or not task.exception():
             return
-        logger.opt(exception=task.exception()).error(
-            "daemon: background task failed"
+        errorlog.log_exception(
+            "daemon: background task failed", task.exception()
         )
         if on_error is not None:
             on_error()
