Reply on the daemon's new connection in the test of late responses

Cause: the fake guard stopped replying on its newest connection, whichever that was. The daemon replaced the silent link, the new one was silent as well, and after 1.2 s it was replaced in its turn; a result that the guard sent between the end of a link and the Hello on the next one was discarded by the socket. The guard is now silent on the one connection that was open, and sends the late results once the daemon has connected again. The checks are unchanged: four results dropped, the call pending until its own result.

--- a/tests/failures/test_late_responses.py
+++ b/tests/failures/test_late_responses.py
@@ -26,15 +26,16 @@
 
     Attributes:
       calls: Received calls.
-      silent: Whether it stops replying to messages on its newest connection.
+      reconnected: Set while its newest connection is not silenced.
     """
 
     def __init__(self, name: str, host: str):
         self.name = name
         self.host = host
         self.calls: asyncio.Queue = asyncio.Queue()
-        self.silent = False
+        self.reconnected = asyncio.Event()
         self._routing_id = b""
+        self._silenced_id: bytes | None = None
         self._context = zmq.asyncio.Context()
         self._socket = self._context.socket(zmq.ROUTER)
         self.port = self._socket.bind_to_random_port(f"tcp://{host}")
@@ -44,6 +45,11 @@
         self._task.cancel()
         self._context.destroy(linger=0)
 
+    def silence(self) -> None:
+        """Stops replying to messages on the connection that is open now."""
+        self._silenced_id = self._routing_id
+        self.reconnected.clear()
+
     async def reply(self, message: messages.Message) -> None:
         """Sends a message on the newest connection."""
         await self._socket.send_multipart(
@@ -57,10 +63,11 @@
             now_ms = clock.monotonic_ms()
             if isinstance(message, messages.Call):
                 self.calls.put_nowait(message)
-            elif self.silent and routing_id == self._routing_id:
+            elif routing_id == self._silenced_id:
                 continue
             elif isinstance(message, messages.Hello):
                 self._routing_id = routing_id
+                self.reconnected.set()
                 await self.reply(
                     messages.HelloAck(
                         self.name, self.name, now_ms, message.sent_ms
@@ -141,8 +148,10 @@
     """Sends the result of a slow first attempt while its retry is in flight."""
     sent = env.send_in_background(kind="browse", id="own")
     first, call = await _next_call(guards)
-    first.silent = True
+    first.silence()
     second, retry = await _next_call(guards)
+    async with asyncio.timeout(environment.CONDITION_TIMEOUT_S):
+        await first.reconnected.wait()
     # Sends the late result on the new connection to the first guard, a copy
     # with the attempt number of the retry, the late result from the second
     # guard, and a result for an attempt that was never sent.
