Bound responses without an end, and surplus frames between daemons

Names and values now have a limit of 64 KiB a response, and all bytes besides the body one of 1 MiB and 16 times the body, for short chunks. Beyond it the connection is closed and the run has failed. - A streamed response went on after the deadline for as long as its target sent. It now ends one second after the deadline, visibly truncated; the daemon of the caller ends it another second later if the peer does not. - A frame from a peer bears no identity. A second answer in the same packet, in part, or while the connection was idle, was taken for the answer to the next run on it. Such a connection is closed now. - At the callers' side, the limit of a head counted the body of the request before it, and an unfinished header had no limit. - A response 101 raised an error that was not caught.

Not covered: the store (its responses are bounded to 16 MiB and 1.5 s).

--- a/mimosahaven/mesh/callerserver.py
+++ b/mimosahaven/mesh/callerserver.py
@@ -154,15 +154,18 @@
         """Parses bytes from the caller."""
         if self._closing:
             return
+        if self._in_message and not self._head_done:
+            # The parser reports a header only once it is complete, so that the
+            # bytes of an unfinished head are counted here. The first ones,
+            # which may follow another request, are not: they are few.
+            self._unfinished_head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse_and_close(Code.MALFORMED)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._refuse_and_close(Code.MALFORMED)
         if self._in_message and not self._head_done:
             limit = self._handler.limits().header_bytes_max
-            if self._header_bytes + len(data) > limit * 2:
+            if max(self._header_bytes, self._unfinished_head_bytes) > limit:
                 self._refuse_and_close(Code.HEADERS_TOO_LARGE)
 
     def check_timeouts(self, now_ms: float) -> None:
@@ -248,6 +251,7 @@
         self._headers: http1.HeaderList = []
         self._body = bytearray()
         self._header_bytes = 0
+        self._unfinished_head_bytes = 0
         self._head_done = False
 
     def _refuse_and_close(self, code: Code) -> None:
--- a/mimosahaven/mesh/frames.py
+++ b/mimosahaven/mesh/frames.py
@@ -313,6 +313,11 @@
     def __init__(self):
         self._buffer = bytearray()
 
+    @property
+    def has_partial_frame(self) -> bool:
+        """Whether a part of a frame has arrived."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> list[Frame]:
         """Adds data and returns the frames that are now complete.
 
--- a/mimosahaven/mesh/httpclient.py
+++ b/mimosahaven/mesh/httpclient.py
@@ -22,6 +22,19 @@
 IDLE_MARGIN_MS = 1_000.0
 # Keep-alive timeout assumed for a server that does not announce one.
 KEEP_ALIVE_TIMEOUT_DEFAULT_MS = 4_000.0
+# Limits on a response, since a server in trouble may send bytes without an end:
+# names and values of all headers and trailers together, and all bytes that are
+# not part of the body. The second one allows for short chunks, each of which
+# takes several bytes besides its data.
+HEADER_BYTES_MAX = 65_536
+OVERHEAD_BYTES_MAX = 1_048_576
+OVERHEAD_PER_BODY_BYTE = 16
+# Bytes that each header takes besides its name and value.
+HEADER_OVERHEAD_BYTES = 4
+
+
+class ResponseTooLargeError(Exception):
+    """The headers of a response exceed their limit."""
 
 
 class ConnectFailure(enum.Enum):
@@ -52,6 +65,10 @@
         self._done = True
         self._reason = b""
         self._headers: http1.HeaderList = []
+        # Sizes of the response, for its limits.
+        self._header_bytes = 0
+        self._body_bytes = 0
+        self._received_bytes = 0
         self.usable = True
         self.idle_since_ms = 0.0
         self.keep_alive_timeout_ms = KEEP_ALIVE_TIMEOUT_DEFAULT_MS
@@ -76,6 +93,7 @@
         self._is_head = is_head
         self._done = False
         self._ignore_message = False
+        self._header_bytes = self._body_bytes = self._received_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         if self._transport is None or self._transport.is_closing():
             stream.fail(Code.TARGET_LOST)
@@ -116,14 +134,21 @@
             # No request is outstanding, so that the data is unsolicited.
             self.close()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if self._done:
                 # The response is complete; only surplus data is invalid.
                 self.usable = False
             else:
                 self._fail()
+            return
+        overhead_bytes = self._received_bytes - self._body_bytes
+        if not self._done and overhead_bytes > (
+            OVERHEAD_BYTES_MAX + OVERHEAD_PER_BODY_BYTE * self._body_bytes
+        ):
+            self._fail()
 
     def eof_received(self) -> bool:
         """Completes a close-delimited response; any other is truncated."""
@@ -164,7 +189,14 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header."""
+        """Adds a header or a trailer; the latter are not passed on.
+
+        Raises:
+          ResponseTooLargeError: The parser then fails the response.
+        """
+        self._header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        if self._header_bytes > HEADER_BYTES_MAX:
+            raise ResponseTooLargeError
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -203,6 +235,7 @@
     def on_body(self, data: bytes) -> None:
         """Adds data to the body of the response."""
         if not self._done and not self._ignore_message:
+            self._body_bytes += len(data)
             self._stream.feed(data)
 
     def on_message_complete(self) -> None:
--- a/mimosahaven/mesh/peerpool.py
+++ b/mimosahaven/mesh/peerpool.py
@@ -18,6 +18,9 @@
 
 # The peer ends a run at its deadline; this allows for its last frame to arrive.
 DEADLINE_SLACK_MS = 150.0
+# The peer ends a stream soon after the deadline; one that has not ended this
+# long after it is cut off, in case the peer sends without an end.
+STREAM_SLACK_MS = 2_000.0
 # An inquiry gets at least this much time, even past the deadline of the run.
 INQUIRY_MIN_MS = 200.0
 
@@ -33,10 +36,12 @@
 
     Attributes:
       usable: Whether the connection is open.
+      idle: Whether no exchange is in progress.
       idle_since_ms: When the last exchange ended.
     """
 
     def __init__(self):
+        self.idle = False
         self._transport: asyncio.Transport | None = None
         self._decoder = frames.FrameDecoder()
         self._inbox: collections.deque[frames.Frame] = collections.deque()
@@ -45,6 +50,11 @@
         self.usable = True
         self.idle_since_ms = 0.0
 
+    @property
+    def has_unread_frames(self) -> bool:
+        """Whether frames, or a part of one, have arrived and wait."""
+        return bool(self._inbox) or self._decoder.has_partial_frame
+
     def send(self, frame: frames.Frame) -> None:
         """Sends a frame."""
         if self._transport is not None and not self._transport.is_closing():
@@ -91,6 +101,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Decodes frames and passes them to the stream or the inbox."""
+        if self.idle:
+            # A frame has no identity, so that the next exchange would take it
+            # for its own reply.
+            self.close()
+            return
         try:
             decoded = self._decoder.feed(data)
         except frames.FrameError:
@@ -261,6 +276,7 @@
         while idle:
             connection = idle.pop()
             if connection.usable:
+                connection.idle = False
                 return connection
         return await self._open(host)
 
@@ -358,9 +374,9 @@
                     timeout_ms = self._settings.silence_ms
                 case frames.Answer():
                     self._on_load(host, frame.load)
-                    return outcomes.Answered(
-                        _response_stream(frame, connection)
-                    )
+                    stream = _response_stream(frame, connection)
+                    stream.limit_duration(remaining_ms + STREAM_SLACK_MS)
+                    return outcomes.Answered(stream)
                 case frames.Refused():
                     self._on_load(host, frame.load)
                     return outcomes.Refused(Code(frame.code), frame.arrived)
@@ -398,12 +414,17 @@
     ) -> None:
         """Returns a connection to the pool once its exchange has ended."""
         if isinstance(outcome, outcomes.Answered) and not outcome.stream.ended:
-            outcome.stream.on_end = lambda: self._release(host, connection)
+            outcome.stream.on_end.append(
+                lambda: self._release(host, connection)
+            )
         else:
             self._release(host, connection)
 
     def _release(self, host: str, connection: PeerConnection) -> None:
+        if connection.has_unread_frames:
+            connection.close()
         if connection.usable:
+            connection.idle = True
             connection.idle_since_ms = clock.monotonic_ms()
             self._idle.setdefault(host, collections.deque()).append(connection)
 
--- a/mimosahaven/mesh/responsestream.py
+++ b/mimosahaven/mesh/responsestream.py
@@ -26,11 +26,12 @@
       tree: Number of runs at each service that were needed for the response.
       on_pause: Called with True to pause the sender and False to resume it.
       on_cancel: Called if the rest of the response is no longer needed.
-      on_end: Called once when the stream has ended.
+      on_end: Called once when the stream has ended, in this order.
     """
 
     __slots__ = (
         "_paused",
+        "_time_limit",
         "_waiter",
         "body",
         "failure",
@@ -54,9 +55,10 @@
         self.tree: dict[str, float] = {}
         self.on_pause: Callable[[bool], None] | None = None
         self.on_cancel: Callable[[], None] | None = None
-        self.on_end: Callable[[], None] | None = None
+        self.on_end: list[Callable[[], None]] = []
         self._paused = False
         self._waiter: asyncio.Future | None = None
+        self._time_limit: asyncio.TimerHandle | None = None
 
     @property
     def ended(self) -> bool:
@@ -97,6 +99,18 @@
                 self.on_cancel()
             self._end()
 
+    def limit_duration(self, duration_ms: float) -> None:
+        """Cancels the stream if it has not ended after a time.
+
+        A sender in trouble may send bytes without an end. This applies to the
+        sender only: what has arrived by then can still be read, but the
+        response is truncated.
+        """
+        if not self.ended:
+            self._time_limit = asyncio.get_running_loop().call_later(
+                max(0.0, duration_ms) / 1000, self.cancel
+            )
+
     async def wait_buffered(self) -> None:
         """Waits until the stream has ended or the buffer is full."""
         while not self.ended and len(self.body) < BUFFER_BYTES:
@@ -122,9 +136,11 @@
 
     def _end(self) -> None:
         self._wake()
-        if self.on_end:
-            on_end, self.on_end = self.on_end, None
-            on_end()
+        if self._time_limit is not None:
+            self._time_limit.cancel()
+        callbacks, self.on_end = self.on_end, []
+        for callback in callbacks:
+            callback()
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -26,6 +26,9 @@
 # The target itself responds with 504 at the deadline; this allows for that
 # response to arrive.
 DEADLINE_SLACK_MS = 60.0
+# A response that is being streamed at the deadline may still end until then. A
+# caller takes a late response, but a target may send without an end.
+STREAM_SLACK_MS = 1_000.0
 # Records of at-most-once sends are kept this long. No request lasts longer.
 AT_MOST_ONCE_RETENTION_MS = 60_000.0
 STATUS_MISDIRECTED = 421
@@ -257,8 +260,15 @@
                 if not stream.ended:
                     streaming = True
                     # A streamed response occupies its slot until its last byte.
-                    stream.on_end = functools.partial(
-                        self._end_run, connection, parent, None
+                    stream.on_end.append(
+                        functools.partial(
+                            self._end_run, connection, parent, None
+                        )
+                    )
+                    stream.limit_duration(
+                        send.deadline_ms
+                        - clock.monotonic_ms()
+                        + STREAM_SLACK_MS
                     )
             return outcome
         finally:
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -746,3 +746,45 @@
         self.assertEqual(
             [200, 1], self.status_of(data + b"3\r\nabc\r\n0\r\n\r\n")
         )
+
+    def test_a_body_does_not_count_as_the_head_of_the_next_request(self):
+        first = fleet_lib.request(method="POST", body=b"x" * 40_000)
+        second = fleet_lib.request(attempt="r2")
+
+        async def scenario():
+            async with (
+                fleet_lib.Fleet(["katalog"]) as fleet,
+                fleet.connect() as (reader, writer),
+            ):
+                writer.write(first + second[:20])
+                status, _, _ = await fleet_lib.read_response(reader)
+                self.assertEqual(200, status)
+                writer.write(second[20:])
+                status, _, _ = await fleet_lib.read_response(reader)
+                self.assertEqual(200, status)
+
+        asyncio.run(asyncio.wait_for(scenario(), 30))
+
+    def test_an_unfinished_header_is_refused_at_the_limit(self):
+        # The limit, and what the daemon reads at once.
+        sent_max_bytes = records.CallerLimits().header_bytes_max + 1_000_000
+        block = b"x" * 16_384
+
+        async def scenario():
+            async with (
+                fleet_lib.Fleet(["katalog"]) as fleet,
+                fleet.connect() as (reader, writer),
+            ):
+                response = asyncio.ensure_future(
+                    fleet_lib.read_response(reader)
+                )
+                writer.write(fleet_lib.request()[:-2] + b"X-A: ")
+                sent_bytes = 0
+                while not response.done() and sent_bytes < sent_max_bytes:
+                    writer.write(block)
+                    sent_bytes += len(block)
+                    await asyncio.sleep(0.01)
+                status, _, _ = await response
+                self.assertEqual(431, status)
+
+        asyncio.run(asyncio.wait_for(scenario(), 30))
--- a/tests/mesh/test_peerpool.py
+++ b/tests/mesh/test_peerpool.py
@@ -19,8 +19,8 @@
 
     Args:
       make_reply: Called with a frame and the number of frames received so far;
-        returns the reply, None for no reply, or "reset" to reset the
-        connection.
+        returns the reply, None for no reply, "reset" to reset the connection,
+        or a queue of bytes, sent one after the other, that ends with None.
     """
 
     def __init__(self, make_reply):
@@ -42,12 +42,43 @@
                 if reply == "reset":
                     writer.transport.abort()
                     return
+                if isinstance(reply, asyncio.Queue):
+                    await send_all(reply, writer)
+                    continue
                 writer.write(frames.encode(reply))
         writer.close()
 
 
-def ok_answer():
-    return frames.Answer(200, b"OK", [], b"hi", False, samples.load(), {})
+async def send_all(queue, writer):
+    while data := await queue.get():
+        writer.write(data)
+
+
+def ok_answer(body=b"hi"):
+    return frames.Answer(200, b"OK", [], body, False, samples.load(), {})
+
+
+def make_settings(port):
+    return settings_lib.convert(
+        {
+            "vm": "vm",
+            "failure_domain": "a",
+            "service": "katalog",
+            "target": "127.0.0.1:1",
+            "listen": {
+                "callers": "127.0.0.1:1",
+                "peers": f"127.0.0.1:{port}",
+                "readiness": "127.0.0.1:1",
+            },
+            "store": {"endpoint": "127.0.0.1:1"},
+            "peers": {
+                "accept_timeout_ms": 200,
+                "proof_timeout_ms": 100,
+                "silence_ms": 200,
+            },
+        },
+        settings_lib.MeshSettings,
+    )
 
 
 class PeerPoolTest(testtools.TestCase):
@@ -56,26 +87,7 @@
 
         async def scenario():
             server, port = await peer.start()
-            settings = settings_lib.convert(
-                {
-                    "vm": "vm",
-                    "failure_domain": "a",
-                    "service": "katalog",
-                    "target": "127.0.0.1:1",
-                    "listen": {
-                        "callers": "127.0.0.1:1",
-                        "peers": f"127.0.0.1:{port}",
-                        "readiness": "127.0.0.1:1",
-                    },
-                    "store": {"endpoint": "127.0.0.1:1"},
-                    "peers": {
-                        "accept_timeout_ms": 200,
-                        "proof_timeout_ms": 100,
-                        "silence_ms": 200,
-                    },
-                },
-                settings_lib.MeshSettings,
-            )
+            settings = make_settings(port)
             pool = peerpool.PeerPool(settings, lambda host, load: None)
             now_ms = clock.monotonic_ms()
             run = test_frames.run()
@@ -138,3 +150,72 @@
             lambda frame, number: "reset", at_most_once=False
         )
         self.assertEqual(outcomes.Failed(Code.LINK_LOST), outcome)
+
+
+class SurplusFramesTest(testtools.TestCase):
+    """A peer that sends frames of an earlier exchange once more."""
+
+    def run_twice(self, send_first_answer):
+        """Sends two runs and returns the bodies of their responses.
+
+        Args:
+          send_first_answer: Called with the queue of bytes for the connection
+            and a coroutine function that waits until the pool has an idle
+            connection.
+        """
+        queue = asyncio.Queue()
+        replies = iter((queue,))
+
+        def make_reply(frame, number):
+            return next(replies, ok_answer(b"second"))
+
+        peer = ScriptedPeer(make_reply)
+
+        async def run(pool):
+            now_ms = clock.monotonic_ms()
+            frame = test_frames.run()
+            frame.once = False
+            send = outcomes.Send(frame, now_ms + 2_000, now_ms)
+            outcome = await pool.run("127.0.0.1", send)
+            return bytes(outcome.stream.body)
+
+        async def scenario():
+            server, port = await peer.start()
+            pool = peerpool.PeerPool(
+                make_settings(port), lambda host, load: None
+            )
+            try:
+                first = asyncio.ensure_future(run(pool))
+                await send_first_answer(queue, first)
+                queue.put_nowait(None)
+                return [await first, await run(pool)]
+            finally:
+                pool.close()
+                server.close()
+
+        return asyncio.run(asyncio.wait_for(scenario(), 30))
+
+    def test_a_second_answer_in_the_same_packet(self):
+        async def send(queue, first):
+            queue.put_nowait(frames.encode(ok_answer(b"first")) * 2)
+
+        self.assertEqual([b"first", b"second"], self.run_twice(send))
+
+    def test_a_second_answer_while_the_connection_is_idle(self):
+        async def send(queue, first):
+            queue.put_nowait(frames.encode(ok_answer(b"first")))
+            await first
+            queue.put_nowait(frames.encode(ok_answer(b"first")))
+            # Until the daemon has read it.
+            await asyncio.sleep(0.05)
+
+        self.assertEqual([b"first", b"second"], self.run_twice(send))
+
+    def test_a_second_answer_that_arrives_in_parts(self):
+        async def send(queue, first):
+            data = frames.encode(ok_answer(b"first"))
+            queue.put_nowait(data + data[:10])
+            await first
+            await asyncio.sleep(0.05)
+
+        self.assertEqual([b"first", b"second"], self.run_twice(send))
