Watch the store with two daemons, and relay changes to each failure domain

Change: one daemon in each of two failure domains watches the store for the fleet. Two relays in each domain follow both, all others follow the relays of their domain. While a relay hears from no fleet watcher, it watches the store itself, 0.1 or 0.2 s later; so a domain that is cut off still learns by itself. A relay's heartbeat says that it has the store only if it watches or hears a fleet watcher, so that two relays never rely on each other. A heartbeat is sent at once when that changes. The length of a watch now follows from the bounds that the platform sets (apply_s, stable_s) and the store's read timeout, in place of a rate for the fleet. The first watch after a change of roles has no wait, so that followers know at once.

Excluded: longer watches with keep-alive probes (a lost response is not a silent connection); stale reads at the start (they would bring back what has been withdrawn).

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -93,7 +93,7 @@
         )
         self.replica = replica_lib.Replica(settings, self.peers, self.log)
         self.store_watch = storewatch.StoreWatch(
-            settings.store, feed, self.replica, self.log, rng
+            settings, feed, self.replica, self.log, rng
         )
         self.peer_probe = peerprobe.PeerProbe(
             self.balancer, self.peers, self.replica, self.log
@@ -205,10 +205,12 @@
         While the daemon is stopping, `has_store` is False, so that followers
         no longer rely on it.
         """
-        stopping = self._term_ms is not None
-        return self.replica.heartbeat(
-            self.store_watch.has_store and not stopping
+        has_store = self._term_ms is None and (
+            self.replica.watcher_selection.has_store(
+                self.store_watch.has_store, clock.monotonic_ms()
+            )
         )
+        return self.replica.heartbeat(has_store)
 
     def on_peer_versions(
         self, host: str, table_version: int, list_revision: int
@@ -399,8 +401,9 @@
             self.runner.tick(now_ms)
             self._update_local_load(now_ms)
             self.subscriptions.tick(now_ms)
-            if self.followers.heartbeat_due(now_ms):
-                self.followers.publish(self.heartbeat())
+            heartbeat = self.heartbeat()
+            if self.followers.heartbeat_due(heartbeat.has_store, now_ms):
+                self.followers.publish(heartbeat)
             await self.replica.tick(now_ms)
             self._complete_startup()
             if now_ms - self._last_housekeeping_ms >= 500:
--- a/mimosahaven/mesh/settings.py
+++ b/mimosahaven/mesh/settings.py
@@ -17,7 +17,6 @@
 
 PositiveMs = Annotated[float, msgspec.Meta(gt=0, le=3_600_000)]
 PositiveS = Annotated[float, msgspec.Meta(gt=0, le=3_600)]
-Positive = Annotated[float, msgspec.Meta(gt=0)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=10_000_000)]
@@ -79,12 +78,16 @@
 
     Attributes:
       grace_s: Time from SIGTERM to SIGKILL.
+      apply_s: Time within which a change of the routes must be in force.
+      stable_s: Time after a disturbance from which on the bounds hold again.
       resend_ratio: Retries allowed per request of a service, over all daemons.
       resend_window_s: Window over which the ratio is computed.
       resend_slack: Retries allowed in addition to the ratio, over all daemons.
     """
 
     grace_s: PositiveS = 6.0
+    apply_s: PositiveS = 2.0
+    stable_s: PositiveS = 3.0
     resend_ratio: Ratio = 0.2
     resend_window_s: PositiveS = 10.0
     resend_slack: NotNegative = 40.0
@@ -122,25 +125,20 @@
 
     Attributes:
       endpoint: Address of the store.
-      watches_per_s: Watches per second that time out without a change, over
-        all daemons. The store may fail to report changes; the first daemon
-        whose watch times out then informs its peers.
       watch_gap_ms: Delay after a change before the next watch, so that one
         watch returns several changes. A change must be in force within 2 s.
       standby_gap_ms: The same delay for a standby watcher.
-      watch_min_ms: Lower bound of the mean watch timeout.
-      watch_max_ms: Upper bound of the mean watch timeout.
+      watch_min_ms: Longest watch that is used where the platform's bounds leave
+        less time.
       read_timeout_ms: Timeout for a response, in addition to the watch timeout.
       retry_ms: Delay after an error; it doubles up to retry_max_ms.
       retry_max_ms: Longest delay after an error.
     """
 
     endpoint: Address
-    watches_per_s: Positive = 8.0
     watch_gap_ms: PositiveMs = 100
     standby_gap_ms: PositiveMs = 400
     watch_min_ms: PositiveMs = 500
-    watch_max_ms: PositiveMs = 12_000
     read_timeout_ms: PositiveMs = 1_500
     retry_ms: PositiveMs = 150
     retry_max_ms: PositiveMs = 800
--- a/mimosahaven/mesh/storewatch.py
+++ b/mimosahaven/mesh/storewatch.py
@@ -9,20 +9,24 @@
 from mimosahaven.mesh import feed as feed_lib
 from mimosahaven.mesh import replica as replica_lib
 from mimosahaven.mesh import settings as settings_lib
-from mimosahaven.mesh import watcherselection
 
 # Interval at which a daemon that does not watch checks whether it has to.
 WATCH_CHECK_INTERVAL_MS = 50.0
 # While no watcher reaches the store, the other daemons of a failure domain poll
 # it at a combined rate of about once per this interval.
 TAKEOVER_POLL_INTERVAL_MS = 100.0
+# Part of the time within which a change must be in force that is left for it to
+# reach all daemons from the first one whose watch returns it.
+APPLY_MARGIN_MS = 500.0
+# Shortest watch as a share of the longest.
+WATCH_JITTER_SHARE_MIN = 0.5
 
 
 class StoreWatch:
     """Updates the replica from the store.
 
     Args:
-      settings: Settings of the store.
+      settings: Settings of the daemon.
       feed: Client of the store.
       replica: Replica to update.
       log: Log of the daemon.
@@ -35,13 +39,14 @@
 
     def __init__(
         self,
-        settings: settings_lib.StoreSettings,
+        settings: settings_lib.MeshSettings,
         feed: feed_lib.Feed,
         replica: replica_lib.Replica,
         log: eventlog.EventLog,
         rng: random.Random,
     ):
-        self._settings = settings
+        self._settings = settings.store
+        self._bounds = settings.bounds
         self._feed = feed
         self._replica = replica
         self._log = log
@@ -92,6 +97,8 @@
         if not replica.complete:
             snapshot = await self._feed.snapshot()
             replica.apply_snapshot(snapshot, self._record_contact())
+            if self._should_watch():
+                self._record_watching()
             return
         changes = await self._feed.changes(
             replica.directory.revision, self.watch_wait_ms()
@@ -108,22 +115,27 @@
     def watch_wait_ms(self) -> float:
         """Returns the maximum duration of the next watch.
 
+        The store may fail to report a change, or a connection may have become
+        silent. The change is then found by the next watch, which has to be in
+        time for the change to be in force within the platform's bounds.
+
         Durations have a wide jitter: an event ends the watches of all watchers
         at the same moment, and with equal durations they would also time out
         together.
         """
-        settings = self._settings
-        if self._failing:
-            # An immediate response shows that the store is back. A watch that
-            # stays unanswered would hide its return until the wait ends.
+        if self._failing or not self._watching:
+            # An immediate response shows that the store is back, or lets this
+            # daemon tell its followers that it has the store. A watch that
+            # stays unanswered would hide the store's return until the wait
+            # ends.
             return 0.0
-        domains = self._replica.watcher_selection.domain_count
-        watchers = domains * watcherselection.WATCHERS_PER_DOMAIN
-        mean_ms = watchers / settings.watches_per_s * 1000
-        mean_ms = min(
-            settings.watch_max_ms, max(settings.watch_min_ms, mean_ms)
+        settings, bounds = self._settings, self._bounds
+        max_ms = min(
+            bounds.apply_s * 1000 - APPLY_MARGIN_MS,
+            bounds.stable_s * 1000 - settings.read_timeout_ms,
         )
-        return mean_ms * self._rng.uniform(0.3, 1.7)
+        max_ms = max(settings.watch_min_ms, max_ms)
+        return max_ms * self._rng.uniform(WATCH_JITTER_SHARE_MIN, 1.0)
 
     def record_failure(self, error: feed_lib.FeedError) -> None:
         """Records that the store gave no usable response."""
@@ -143,7 +155,8 @@
 
     def _retry_delay_ms(self, delay_ms: float) -> float:
         selection = self._replica.watcher_selection
-        if selection.is_designated or not self._replica.complete:
+        is_first = selection.is_fleet_watcher or selection.is_relay
+        if is_first or not self._replica.complete:
             return delay_ms
         return max(delay_ms, selection.domain_size * TAKEOVER_POLL_INTERVAL_MS)
 
--- a/mimosahaven/mesh/subscriptions.py
+++ b/mimosahaven/mesh/subscriptions.py
@@ -33,6 +33,7 @@
     def __init__(self):
         self._followers: set[Follower] = set()
         self._heartbeat_ms = 0.0
+        self._told_has_store = False
 
     def __len__(self) -> int:
         return len(self._followers)
@@ -54,11 +55,19 @@
             if follower.push(data) > UNSENT_BYTES_MAX:
                 follower.abort()
 
-    def heartbeat_due(self, now_ms: float) -> bool:
-        """Returns whether a heartbeat is due; if so, restarts the interval."""
-        if now_ms - self._heartbeat_ms < watcherselection.HEARTBEAT_INTERVAL_MS:
+    def heartbeat_due(self, has_store: bool, now_ms: float) -> bool:
+        """Returns whether a heartbeat is due; if so, restarts the interval.
+
+        One is due at intervals, and as soon as this daemon gets or loses the
+        store.
+        """
+        elapsed_ms = now_ms - self._heartbeat_ms
+        if (
+            elapsed_ms < watcherselection.HEARTBEAT_INTERVAL_MS
+            and has_store == self._told_has_store
+        ):
             return False
-        self._heartbeat_ms = now_ms
+        self._heartbeat_ms, self._told_has_store = now_ms, has_store
         return True
 
 
