Count a fleet watcher as having the store by its own watch only

Cause: both fleet watchers are relays of their domains, and a relay's heartbeat says that it has the store while it hears from a fleet watcher. Each of the two heard the other one say so, and went on for its sake. The model's test of a store that refuses the watchers began without a store, so that neither had ever said so.

--- a/mimosahaven/mesh/watcherselection.py
+++ b/mimosahaven/mesh/watcherselection.py
@@ -165,13 +165,16 @@
     def has_store(self, watches_store: bool, now_ms: float) -> bool:
         """Returns whether this daemon's heartbeats say that it has the store.
 
+        A fleet watcher has it only by its own watch, since the other one may
+        hear of the store from this one only.
+
         Args:
           watches_store: Whether it watches the store and gets responses.
           now_ms: Current time.
         """
-        return watches_store or (
-            self.is_relay and self._hears_fleet_watcher(now_ms)
-        )
+        if watches_store or self.is_fleet_watcher:
+            return watches_store
+        return self.is_relay and self._hears_fleet_watcher(now_ms)
 
     def should_watch(self, now_ms: float) -> bool:
         """Returns whether this daemon has to watch the store itself."""
--- a/tests/mesh/test_watcherselection.py
+++ b/tests/mesh/test_watcherselection.py
@@ -153,6 +153,18 @@
         watching = simulate(self.selections, no_store=self.watchers)
         self.assertEqual(self.relays, watching)
 
+    def test_fleet_watchers_do_not_rely_on_each_other(self):
+        # Both have had the store when it begins to refuse them. Seen in a hunt
+        # on 12 VMs: no daemon took over, and a change came 3 s late.
+        simulate(self.selections)
+        watching = simulate(
+            self.selections,
+            no_store=self.watchers,
+            start_ms=4 * SECOND_MS,
+            duration_ms=1.2 * SECOND_MS,
+        )
+        self.assertEqual(self.relays, watching)
+
     def test_few_take_over_when_the_store_refuses_all_relays(self):
         watching = simulate(self.selections, no_store=self.relays)
         self.assertEqual(3, len(watching - self.relays))
