Keep watch, timer and subscriptions running after unexpected errors

Cause, read in the code and shown by tests that failed first: an entry of another writer whose port is a digit but no number (superscript 2), or whose value is not ASCII text, raised an error that the store's client did not expect. The watch of the store then ended for good, and the daemon kept its old state without a word but one log line. An unexpected error in the timer likewise ended heartbeats, queue timeouts and load reports, and one in a frame of a source ended that subscription. A success that does not echo the ID of the request was passed on, though it may belong to another one.

Excluded: exceptions in a caller's or a peer's exchange; they end that exchange only (read, and MalformedRequestTest). Tests: OtherWritersTest, UnexpectedErrorTest (twice), test_a_success_without_the_attempt_id_is_not_forwarded; each seen failing, the one on subscriptions with the mend taken out of a scratch copy.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -10,6 +10,7 @@
 
 from mimosahaven import clock
 from mimosahaven import codes
+from mimosahaven import errorlog
 from mimosahaven import errors
 from mimosahaven import gctuning
 from mimosahaven import logsink
@@ -259,6 +260,7 @@
             bounds.resend_slack,
             bounds.resend_window_s * 1000,
         )
+        self.store_watch.bounds = bounds
         self.settings = msgspec.structs.replace(self.settings, bounds=bounds)
         self.log.event("settings read", str(bounds))
 
@@ -396,28 +398,34 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            now_ms = clock.monotonic_ms()
-            self._check_pause(now_ms)
-            self.runner.tick(now_ms)
-            self._update_local_load(now_ms)
-            self.subscriptions.tick(now_ms)
-            heartbeat = self.heartbeat()
-            if self.followers.heartbeat_due(heartbeat.has_store, now_ms):
-                self.followers.publish(heartbeat)
-            await self.replica.tick(now_ms)
-            self._complete_startup()
-            if now_ms - self._last_housekeeping_ms >= 500:
-                self._last_housekeeping_ms = now_ms
-                self.peers.expire(now_ms)
-                for connection in list(self._caller_connections):
-                    connection.check_timeouts(now_ms)
-                self.tasks.spawn(self.peer_probe.run())
-                self._log_state(now_ms)
-                if self.settings_file and self.settings_file.has_changed():
-                    self.reload()
-            self.log.flush()
+            try:
+                await self._tick(clock.monotonic_ms())
+            except Exception as error:  # noqa: BLE001 - the timer must go on
+                errorlog.log_exception("daemon: error in a timer", error)
             await asyncio.sleep(TICK_MS / 1000)
 
+    async def _tick(self, now_ms: float) -> None:
+        """Does the periodic work."""
+        self._check_pause(now_ms)
+        self.runner.tick(now_ms)
+        self._update_local_load(now_ms)
+        self.subscriptions.tick(now_ms)
+        heartbeat = self.heartbeat()
+        if self.followers.heartbeat_due(heartbeat.has_store, now_ms):
+            self.followers.publish(heartbeat)
+        await self.replica.tick(now_ms)
+        self._complete_startup()
+        if now_ms - self._last_housekeeping_ms >= 500:
+            self._last_housekeeping_ms = now_ms
+            self.peers.expire(now_ms)
+            for connection in list(self._caller_connections):
+                connection.check_timeouts(now_ms)
+            self.tasks.spawn(self.peer_probe.run())
+            self._log_state(now_ms)
+            if self.settings_file and self.settings_file.has_changed():
+                self.reload()
+        self.log.flush()
+
     def _log_state(self, now_ms: float) -> None:
         if now_ms - self._state_logged_ms >= STATE_LOG_MS:
             self._state_logged_ms = now_ms
--- a/mimosahaven/mesh/httpclient.py
+++ b/mimosahaven/mesh/httpclient.py
@@ -37,6 +37,10 @@
     """The headers of a response exceed their limit."""
 
 
+class UnidentifiedResponseError(Exception):
+    """A success does not echo the ID of the request."""
+
+
 class ConnectFailure(enum.Enum):
     """Reason why a connection could not be opened."""
 
@@ -214,6 +218,9 @@
             self._ignore_message = True
             self.usable = False
             return
+        if echoed is None and self._attempt_header and status < 300:
+            # Without the ID, it may belong to another request.
+            raise UnidentifiedResponseError
         length = http1.find_header(headers, b"content-length")
         coding = http1.find_header(headers, b"transfer-encoding")
         self._close_delimited = (
--- a/mimosahaven/mesh/storewatch.py
+++ b/mimosahaven/mesh/storewatch.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from mimosahaven import clock
+from mimosahaven import errorlog
 from mimosahaven.mesh import eventlog
 from mimosahaven.mesh import feed as feed_lib
 from mimosahaven.mesh import replica as replica_lib
@@ -33,6 +34,7 @@
       rng: Source of jitter for watch timeouts and retry delays.
 
     Attributes:
+      bounds: Bounds from which the length of a watch follows.
       contact_ms: Time of the last response, or None.
       on_contact: Called on each response.
     """
@@ -46,7 +48,7 @@
         rng: random.Random,
     ):
         self._settings = settings.store
-        self._bounds = settings.bounds
+        self.bounds = settings.bounds
         self._feed = feed
         self._replica = replica
         self._log = log
@@ -79,12 +81,17 @@
                 )
             except feed_lib.FeedError as error:
                 self.record_failure(error)
-                await asyncio.sleep(
-                    self._retry_delay_ms(delay_ms)
-                    * self._rng.uniform(0.7, 1.3)
-                    / 1000
-                )
-                delay_ms = min(delay_ms * 2, self._settings.retry_max_ms)
+                delay_ms = await self._wait_for_retry(delay_ms)
+            except Exception as error:  # noqa: BLE001 - the watch must go on
+                errorlog.log_exception("store: unexpected error", error)
+                self.record_failure(feed_lib.FeedError(repr(error)))
+                delay_ms = await self._wait_for_retry(delay_ms)
+
+    async def _wait_for_retry(self, delay_ms: float) -> float:
+        """Waits after an error; returns the delay after the next one."""
+        jitter = self._rng.uniform(0.7, 1.3)
+        await asyncio.sleep(self._retry_delay_ms(delay_ms) * jitter / 1000)
+        return min(delay_ms * 2, self._settings.retry_max_ms)
 
     async def read(self) -> None:
         """Reads a snapshot, or waits for changes if the replica is complete.
@@ -129,7 +136,7 @@
             # stays unanswered would hide the store's return until the wait
             # ends.
             return 0.0
-        settings, bounds = self._settings, self._bounds
+        settings, bounds = self._settings, self.bounds
         max_ms = min(
             bounds.apply_s * 1000 - APPLY_MARGIN_MS,
             bounds.stable_s * 1000 - settings.read_timeout_ms,
--- a/mimosahaven/mesh/subscriptions.py
+++ b/mimosahaven/mesh/subscriptions.py
@@ -97,7 +97,8 @@
         for host in [h for h in self._running if h not in wanted]:
             self._running.pop(host).cancel()
         for host in wanted:
-            if host not in self._running:
+            # A subscription ends by itself only with an unexpected error.
+            if host not in self._running or self._running[host].done():
                 self._running[host] = self._tasks.spawn(self._follow(host))
 
     async def _follow(self, host: str) -> None:
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -201,6 +201,21 @@
 
         self.run_scenario(scenario)
 
+    def test_a_success_without_the_attempt_id_is_not_forwarded(self):
+        # The ID identifies a response; another one may arrive late.
+        async def handle(head, body, writer, number):
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nMimosahaven-Signature: s1\r\n"
+                b"Content-Length: 2\r\n\r\nhi"
+            )
+
+        async def scenario():
+            async with fleet_lib.Fleet(["katalog"], [handle]) as fleet:
+                status, _, _ = await fleet.send_request()
+                self.assertEqual(502, status)
+
+        asyncio.run(asyncio.wait_for(scenario(), 30))
+
     def test_a_close_delimited_response_is_complete(self):
         async def close_delimited(head, body, writer, number):
             writer.write(
@@ -683,6 +698,53 @@
         asyncio.run(asyncio.wait_for(scenario(), 30))
 
 
+class UnexpectedErrorTest(testtools.TestCase):
+    """An error that nobody has foreseen ends what it occurs in, no more."""
+
+    def run_scenario(self, scenario, services=("katalog",)):
+        async def run():
+            async with fleet_lib.Fleet(list(services)) as fleet:
+                await scenario(fleet)
+
+        asyncio.run(asyncio.wait_for(run(), 30))
+
+    def test_an_error_in_the_periodic_work_does_not_end_it(self):
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            calls = []
+
+            def fail(now_ms):
+                calls.append(now_ms)
+                raise KeyError("not foreseen")
+
+            daemon.runner.tick = fail
+            await fleet_lib.wait_until(lambda: len(calls) >= 3)
+            status, _, _ = await fleet.send_request()
+            self.assertEqual(200, status)
+
+        self.run_scenario(scenario)
+
+    def test_an_error_in_a_frame_of_a_source_does_not_end_following(self):
+        async def scenario(fleet):
+            followed = []
+            for index, daemon in enumerate(fleet.daemons):
+
+                def fail(host, frame, now_ms, index=index):
+                    followed.append((index, host, frame))
+                    raise KeyError("not foreseen")
+
+                daemon.replica.on_source_frame = fail
+            # Each subscription ends with its first frame and is renewed.
+            await fleet_lib.wait_until(
+                lambda: any(
+                    sum(f[:2] == pair[:2] for f in followed) >= 3
+                    for pair in followed
+                )
+            )
+
+        self.run_scenario(scenario, ("katalog", "katalog", "katalog"))
+
+
 class SettingsTest(testtools.TestCase):
     def test_changed_settings_are_reloaded_and_invalid_ones_rejected(self):
         async def scenario(path):
@@ -697,6 +759,7 @@
                     lambda: daemon.settings.bounds.grace_s == 9.0
                 )
                 self.assertEqual(9.0, daemon.settings.bounds.grace_s)
+                self.assertEqual(9.0, daemon.store_watch.bounds.grace_s)
                 path.write_text("{")
                 daemon.reload()
                 self.assertEqual(9.0, daemon.settings.bounds.grace_s)
--- a/tests/mesh/test_storewatch.py
+++ b/tests/mesh/test_storewatch.py
@@ -1,5 +1,6 @@
 """Tests of when and how often the store is queried."""
 
+import asyncio
 import random
 
 import testtools
@@ -96,3 +97,37 @@
             waits = [watch.watch_wait_ms() for _ in range(500)]
             rates.append(watchers * 1000 / (sum(waits) / len(waits)))
         self.assertTrue(rates[1] < rates[0] * 1.1, rates)
+
+
+class BrokenFeed:
+    """A feed whose first calls raise an unexpected error."""
+
+    def __init__(self, targets):
+        self._targets = targets
+        self.calls = 0
+
+    async def snapshot(self):
+        self.calls += 1
+        if self.calls <= 2:
+            raise KeyError("not foreseen")
+        return feed_lib.Snapshot(5, None, self._targets)
+
+    async def changes(self, after, wait_ms):
+        await asyncio.sleep(3600)
+
+
+class UnexpectedErrorTest(testtools.TestCase):
+    def test_an_unexpected_error_does_not_end_the_watch(self):
+        async def scenario():
+            watch, replica = make_watch(3)
+            replica.complete = False
+            watch._feed = BrokenFeed(list(replica.directory.targets))
+            task = asyncio.ensure_future(watch.run())
+            async with asyncio.timeout(20):
+                while not replica.complete:
+                    self.assertFalse(task.done())
+                    await asyncio.sleep(0.01)
+            task.cancel()
+            self.assertEqual(5, replica.directory.revision)
+
+        asyncio.run(scenario())
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,7 +1,10 @@
 import json
 
+import hypothesis
 import testtools
+from hypothesis import strategies
 from mimosahaven_platform import decoding
+from mimosahaven_platform import store
 
 from mimosahaven.mesh import records
 
@@ -131,3 +134,59 @@
             self.assertIsNone(decoding.decode_target("i-1", data, 5), change)
         for data in (b"", b"[]", b"\xff\xfe"):
             self.assertIsNone(decoding.decode_target("i-1", data, 5))
+
+
+# Values of other types and bounds, and text that looks like a number.
+ODD_VALUES = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.floats(),
+    strategies.text(max_size=8),
+    strategies.sampled_from(["10.0.0.1:\u00b2", "10.0.0.1:9" * 2, "-1", "0x"]),
+    strategies.lists(strategies.integers(), max_size=2),
+    strategies.dictionaries(strategies.text(max_size=3), strategies.none()),
+)
+
+
+class OtherWritersTest(testtools.TestCase):
+    """Entries may come from other writers; none may end the store's watch."""
+
+    def test_a_port_that_is_a_digit_but_not_a_number(self):
+        entry = ENTRY | {"address": "10.128.0.9:\u00b2"}
+        self.assertIs(None, decoding.decode_target("i-1", encode(entry), 1))
+
+    def test_a_value_that_is_not_ascii_text(self):
+        item = store._Item(key="servers/i-1", value="\u00e4\u00e4\u00e4\u00e4")
+        changes = store._parse_changes([item], 3)
+        self.assertEqual((["i-1"], 1), (changes.gone, len(changes.faults)))
+
+    @hypothesis.settings(database=None, derandomize=True, deadline=None)
+    @hypothesis.given(
+        field=strategies.sampled_from(sorted(ENTRY)), value=ODD_VALUES
+    )
+    def test_any_field_of_an_entry(self, field, value):
+        target = decoding.decode_target(
+            "i-1", encode(ENTRY | {field: value}), 1
+        )
+        self.assertTrue(target is None or target.target_id == "i-1")
+
+    @hypothesis.settings(database=None, derandomize=True, deadline=None)
+    @hypothesis.given(
+        column=strategies.integers(0, len(CONFIG["routes"]["columns"]) - 1),
+        value=ODD_VALUES,
+    )
+    def test_any_field_of_a_route(self, column, value):
+        [row, _] = CONFIG["routes"]["rows"]
+        row = row[:column] + [value] + row[column + 1 :]
+        routes = CONFIG["routes"] | {"rows": [row]}
+        try:
+            decoding.decode_table(encode(CONFIG | {"routes": routes}))
+        except decoding.DecodingError:
+            pass
+
+    @hypothesis.settings(database=None, derandomize=True, deadline=None)
+    @hypothesis.given(data=strategies.binary(max_size=40))
+    def test_any_bytes(self, data):
+        self.assertIs(None, decoding.decode_target("i-1", data, 1))
+        self.assertRaises(decoding.DecodingError, decoding.decode_table, data)
