Prefer a slow free target to a queue at a fast one

Pattern: a service at its capacity whose targets differ in speed by a factor of four. Targets of 50 ms had 16 to 26 runs queued, targets of 180 ms were idle (2 of 32 running): a queue of half the slots scores like 125 ms. Queued runs raise the threshold of the fast targets, and with it that of the service.

Change: queueing weighs 8 instead of 3 in the score. Excluded: the reports' age (they arrive with each response).

Tests: UnequalTargetsTest, one new case that fails with the old weight, and one that holds for both.

--- a/mimosahaven/mesh/loadbalancer.py
+++ b/mimosahaven/mesh/loadbalancer.py
@@ -26,8 +26,9 @@
 DOWN_RETRY_MS = 500.0
 # Weight of queueing in the score. With a weight of 1, a target that is three
 # times as fast as another would queue twice its limit before the slower one
-# fills up, and would drop runs while the slower one has free slots.
-QUEUE_WAIT_FACTOR = 3.0
+# fills up, and would drop runs while the slower one has free slots. A queue
+# also makes the callers shed requests that the slower one could serve.
+QUEUE_WAIT_FACTOR = 8.0
 # Quantile of the targets' shed thresholds, weighted by capacity, that is taken
 # as the threshold of their service; 0.5 is the median.
 THRESHOLD_QUANTILE = 0.5
--- a/tests/mesh/test_loadbalancer.py
+++ b/tests/mesh/test_loadbalancer.py
@@ -95,26 +95,41 @@
 
 
 class UnequalTargetsTest(testtools.TestCase):
-    """Targets of a saturated service whose speeds differ by a factor of 3."""
+    """Targets of a saturated service whose speeds differ."""
 
-    def test_slow_target_fills_before_a_fast_one_builds_a_long_queue(self):
+    def place(self, means_ms, slots, count):
+        """Places requests that do not end; returns their number by host."""
         balancer = loadbalancer_lib.LoadBalancer(
             "a", "10.9.9.9", random.Random(1)
         )
-        means_ms = {"10.0.0.1": 28.0, "10.0.0.2": 80.0}
-        targets = [samples.target(host, host, slots=80) for host in means_ms]
+        targets = [samples.target(host, host, slots=slots) for host in means_ms]
         counts = dict.fromkeys(means_ms, 0)
-        for _ in range(190):
+        for _ in range(count):
             for host, mean_ms in means_ms.items():
-                running = min(80, counts[host])
+                running = min(slots, counts[host])
                 load = samples.load(
-                    running, counts[host] - running, 80, mean_ms
+                    running, counts[host] - running, slots, mean_ms
                 )
                 balancer.record_load(host, load, 0.0)
             counts[balancer.choose(targets, set(), 0.0).host] += 1
+        return counts
+
+    def test_slow_target_fills_before_a_fast_one_builds_a_long_queue(self):
+        counts = self.place({"10.0.0.1": 28.0, "10.0.0.2": 80.0}, 80, 190)
         # The queue of the fast target stays below the slots of one target.
         self.assertThat(counts["10.0.0.1"], matchers.LessThan(2 * 80))
 
+    def test_slow_target_is_used_when_a_fast_one_begins_to_queue(self):
+        # Seen on the full-size scale-1 of 194 VMs: targets of 50 ms had queues
+        # of half their slots, and their callers shed requests, while targets
+        # of 200 ms were idle.
+        counts = self.place({"10.0.0.1": 50.0, "10.0.0.2": 200.0}, 32, 64)
+        self.assertThat(counts["10.0.0.2"], matchers.GreaterThan(32 / 2))
+
+    def test_slow_target_is_spared_while_a_fast_one_has_free_slots(self):
+        counts = self.place({"10.0.0.1": 50.0, "10.0.0.2": 200.0}, 32, 30)
+        self.assertThat(counts["10.0.0.2"], matchers.LessThan(3))
+
 
 class ThresholdTest(testtools.TestCase):
     """Some targets of a service are full or down; others have capacity."""
