Keep long runs in their failure domain unless another is 10% faster

The fixed 6 ms for another domain is far below the random spread of the scores (15%) for runs of 110 to 640 ms, so that with one target per service and domain two runs of three crossed.

Change: a tenth of the service's mean run time is added for a target in another domain. Excluded: fewer bytes a run (frames have no field names; bodies are most).

Tests: two in LoadBalancerTest; tests/mesh and tests/platform pass.

--- a/mimosahaven/mesh/loadbalancer.py
+++ b/mimosahaven/mesh/loadbalancer.py
@@ -14,8 +14,11 @@
 from mimosahaven.mesh import records
 
 # Added to the score of targets in other failure domains, as traffic between
-# domains is expensive and has a higher latency.
+# domains is expensive and has a higher latency: a time, and a share of the mean
+# run time of the service. Without the share, the random spread of the scores of
+# long runs would outweigh the time.
 REMOTE_PENALTY_MS = 6.0
+REMOTE_PENALTY_SHARE = 0.1
 # The weight of a load report decreases linearly to 0 at this age. From then on,
 # only this daemon's outstanding requests count.
 REPORT_MAX_AGE_MS = 2_000.0
@@ -278,4 +281,5 @@
             score += 1.0
             if target.failure_domain != self._failure_domain:
                 score += REMOTE_PENALTY_MS
+                score += REMOTE_PENALTY_SHARE * service_mean_ms
         return score
--- a/tests/mesh/test_loadbalancer.py
+++ b/tests/mesh/test_loadbalancer.py
@@ -34,6 +34,21 @@
         self.balancer.record_load("10.0.0.2", samples.load(1), 0.0)
         self.assertEqual({"i-2": 100}, self.counts())
 
+    def test_equal_target_in_the_own_domain_is_preferred_for_long_runs(self):
+        # Seen on sites with runs of 160 to 640 ms: two requests of three went
+        # to other failure domains.
+        for target in self.targets:
+            self.balancer.record_load(
+                target.host, samples.load(3, mean_ms=640.0), 0.0
+            )
+        self.assertThat(self.counts()["i-1"], matchers.GreaterThan(90))
+
+    def test_target_in_another_domain_takes_part_of_a_high_load(self):
+        # Far from full, so that the callers lose less than a tenth of a run.
+        self.balancer.record_load("10.0.0.1", samples.load(6, mean_ms=640.0), 0)
+        self.balancer.record_load("10.0.0.2", samples.load(1, mean_ms=640.0), 0)
+        self.assertThat(self.counts()["i-2"], matchers.GreaterThan(50))
+
     def test_faster_target_is_preferred(self):
         self.balancer.record_load("10.0.0.1", samples.load(mean_ms=500.0), 0.0)
         self.balancer.record_load("10.0.0.2", samples.load(mean_ms=50.0), 0.0)
