--- a/mimosahaven/mesh/peerpool.py
+++ b/mimosahaven/mesh/peerpool.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import collections
-import functools
 from collections.abc import Callable
 
 from mimosahaven import clock
 from mimosahaven import codes
-from mimosahaven.mesh import flowcontrol
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import outcomes
+from mimosahaven.mesh import peerconnection
 from mimosahaven.mesh import responsestream
 from mimosahaven.mesh import settings as settings_lib
 from mimosahaven.mesh import watcherselection
@@ -27,123 +26,6 @@
 LoadListener = Callable[[str, frames.Load], None]
 
 
-class PeerConnectionLostError(Exception):
-    """The connection has ended, or no frame arrived from the peer in time."""
-
-
-class PeerConnection(asyncio.Protocol):
-    """Client connection to a peer, with one exchange at a time.
-
-    Attributes:
-      usable: Whether the connection is open.
-      idle: Whether no exchange is in progress.
-      idle_since_ms: When the last exchange ended.
-    """
-
-    def __init__(self):
-        self.idle = False
-        self._transport: asyncio.Transport | None = None
-        self._decoder = frames.FrameDecoder()
-        self._inbox: collections.deque[frames.Frame] = collections.deque()
-        self._waiter: asyncio.Future | None = None
-        self._stream: responsestream.ResponseStream | None = None
-        self.usable = True
-        self.idle_since_ms = 0.0
-
-    @property
-    def has_unread_frames(self) -> bool:
-        """Whether frames, or a part of one, have arrived and wait."""
-        return bool(self._inbox) or self._decoder.has_partial_frame
-
-    def send(self, frame: frames.Frame) -> None:
-        """Sends a frame."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(frames.encode(frame))
-
-    async def receive(self, timeout_ms: float) -> frames.Frame:
-        """Returns the next frame.
-
-        Raises:
-          PeerConnectionLostError: Timeout, or the connection has ended.
-        """
-        while not self._inbox:
-            if not self.usable:
-                raise PeerConnectionLostError
-            self._waiter = asyncio.get_running_loop().create_future()
-            try:
-                async with asyncio.timeout(max(0.0, timeout_ms) / 1000):
-                    await self._waiter
-            except TimeoutError as error:
-                raise PeerConnectionLostError from error
-            finally:
-                self._waiter = None
-        return self._inbox.popleft()
-
-    def stream_body(self, stream: responsestream.ResponseStream) -> None:
-        """Feeds the Data frames that follow into a response."""
-        self._stream = stream
-        stream.on_pause = functools.partial(
-            flowcontrol.set_reading_paused, self._transport
-        )
-        stream.on_cancel = self.close
-        while self._inbox:
-            self._feed_stream(self._inbox.popleft())
-
-    def close(self) -> None:
-        """Closes the connection after flushing the write buffer."""
-        self.usable = False
-        if self._transport is not None:
-            self._transport.close()
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Stores the transport."""
-        self._transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        """Decodes frames and passes them to the stream or the inbox."""
-        if self.idle:
-            # A frame has no identity, so that the next exchange would take it
-            # for its own reply.
-            self.close()
-            return
-        try:
-            decoded = self._decoder.feed(data)
-        except frames.FrameError:
-            self.close()
-            self.connection_lost(None)
-            return
-        for frame in decoded:
-            if self._stream is not None:
-                self._feed_stream(frame)
-            else:
-                self._inbox.append(frame)
-        self._wake()
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Fails an open stream and wakes the receiver."""
-        self.usable = False
-        if self._stream is not None:
-            self._stream.fail(Code.ANSWER_TRUNCATED)
-            self._stream = None
-        self._wake()
-
-    def _feed_stream(self, frame: frames.Frame) -> None:
-        stream = self._stream
-        match frame:
-            case frames.Data():
-                stream.feed(frame.body)
-            case frames.End():
-                self._stream = None
-                if frame.whole:
-                    stream.feed_eof()
-                else:
-                    stream.fail(Code.ANSWER_TRUNCATED)
-
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-
 class PeerPool:
     """Pool of connections to the daemons on other VMs.
 
@@ -159,7 +41,9 @@
         self._port = settings.listen.peers.port
         self._local_host = settings.target.host
         self._on_load = on_load
-        self._idle: dict[str, collections.deque[PeerConnection]] = {}
+        self._idle: dict[
+            str, collections.deque[peerconnection.PeerConnection]
+        ] = {}
 
     async def run(self, host: str, send: outcomes.Send) -> outcomes.Outcome:
         """Sends a request to another daemon, to be run on its target."""
@@ -176,7 +60,7 @@
             return await self._exchange(
                 host, connection, send.run, send.deadline_ms
             )
-        except PeerConnectionLostError:
+        except peerconnection.PeerConnectionLostError:
             if not send.run.once:
                 return outcomes.Failed(Code.LINK_LOST)
             return await self._inquire(host, send)
@@ -193,7 +77,7 @@
         )
         try:
             frame = await connection.receive(self._settings.accept_timeout_ms)
-        except PeerConnectionLostError:
+        except peerconnection.PeerConnectionLostError:
             connection.close()
             return False
         if isinstance(frame, frames.Pong):
@@ -211,7 +95,7 @@
         connection.send(request)
         try:
             frame = await connection.receive(self._settings.silence_ms)
-        except PeerConnectionLostError:
+        except peerconnection.PeerConnectionLostError:
             return None
         finally:
             connection.close()
@@ -248,7 +132,7 @@
                         watcherselection.HEARTBEAT_TIMEOUT_MS
                     )
                 )
-        except PeerConnectionLostError:
+        except peerconnection.PeerConnectionLostError:
             return
         finally:
             connection.close()
@@ -271,7 +155,7 @@
         for connection in self._idle.pop(host, ()):
             connection.close()
 
-    async def _acquire(self, host: str) -> PeerConnection | None:
+    async def _acquire(self, host: str) -> peerconnection.PeerConnection | None:
         idle = self._idle.get(host)
         while idle:
             connection = idle.pop()
@@ -282,7 +166,7 @@
 
     async def _acquire_verified(
         self, host: str, send: outcomes.Send
-    ) -> PeerConnection | None:
+    ) -> peerconnection.PeerConnection | None:
         """Returns a connection on which the peer has just replied to a ping.
 
         If a peer does not reply to a run, it is unknown whether the run has
@@ -303,7 +187,7 @@
                 frame = await connection.receive(
                     self._settings.proof_timeout_ms
                 )
-            except PeerConnectionLostError:
+            except peerconnection.PeerConnectionLostError:
                 connection.close()
                 # A pooled connection may belong to an earlier process of the
                 # peer.
@@ -321,14 +205,14 @@
 
     async def _open(
         self, host: str, port: int | None = None
-    ) -> PeerConnection | None:
+    ) -> peerconnection.PeerConnection | None:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(
                 self._settings.connect_timeout_ms / 1000
             ):
                 _, connection = await loop.create_connection(
-                    PeerConnection, host, port or self._port
+                    peerconnection.PeerConnection, host, port or self._port
                 )
         except (OSError, TimeoutError):
             return None
@@ -337,7 +221,7 @@
     async def _exchange(
         self,
         host: str,
-        connection: PeerConnection,
+        connection: peerconnection.PeerConnection,
         request: frames.Run | frames.Inquire,
         deadline_ms: float,
     ) -> outcomes.Outcome:
@@ -349,7 +233,7 @@
         connection.send(request)
         try:
             outcome = await self._await_outcome(host, connection, deadline_ms)
-        except PeerConnectionLostError:
+        except peerconnection.PeerConnectionLostError:
             connection.close()
             raise
         except asyncio.CancelledError:
@@ -360,7 +244,10 @@
         return outcome
 
     async def _await_outcome(
-        self, host: str, connection: PeerConnection, deadline_ms: float
+        self,
+        host: str,
+        connection: peerconnection.PeerConnection,
+        deadline_ms: float,
     ) -> outcomes.Outcome:
         timeout_ms = self._settings.accept_timeout_ms
         while True:
@@ -403,13 +290,13 @@
                 frames.Inquire(send.run.send_id),
                 max(send.deadline_ms, min_deadline_ms),
             )
-        except PeerConnectionLostError:
+        except peerconnection.PeerConnectionLostError:
             return outcomes.Failed(Code.LINK_LOST)
 
     def _release_after(
         self,
         host: str,
-        connection: PeerConnection,
+        connection: peerconnection.PeerConnection,
         outcome: outcomes.Outcome,
     ) -> None:
         """Returns a connection to the pool once its exchange has ended."""
@@ -420,7 +307,9 @@
         else:
             self._release(host, connection)
 
-    def _release(self, host: str, connection: PeerConnection) -> None:
+    def _release(
+        self, host: str, connection: peerconnection.PeerConnection
+    ) -> None:
         if connection.has_unread_frames:
             connection.close()
         if connection.usable:
@@ -430,7 +319,7 @@
 
 
 def _response_stream(
-    frame: frames.Answer, connection: PeerConnection
+    frame: frames.Answer, connection: peerconnection.PeerConnection
 ) -> responsestream.ResponseStream:
     stream = responsestream.ResponseStream()
     stream.set_head(frame.status, frame.reason, frame.headers)
