Let relays count only daemons that watch the store themselves

With target lists that differ, two relays can each take the other one for a fleet watcher, and then neither watches, so that their lists never become equal.

Change: a heartbeat also tells whether its sender watches the store itself; relays count only those. A fleet watcher that is turned away may now serve its followers as a relay of the other one. Excluded: longer lists of watchers (the same with more of them).

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -206,12 +206,12 @@
         While the daemon is stopping, `has_store` is False, so that followers
         no longer rely on it.
         """
-        has_store = self._term_ms is None and (
-            self.replica.watcher_selection.has_store(
-                self.store_watch.has_store, clock.monotonic_ms()
-            )
+        sign = self.replica.heartbeat(
+            self.store_watch.has_store, clock.monotonic_ms()
         )
-        return self.replica.heartbeat(has_store)
+        if self._term_ms is not None:
+            sign.has_store = sign.watches_store = False
+        return sign
 
     def on_peer_versions(
         self, host: str, table_version: int, list_revision: int
--- a/mimosahaven/mesh/frames.py
+++ b/mimosahaven/mesh/frames.py
@@ -228,14 +228,17 @@
     """Heartbeat for the daemons that follow the sender.
 
     Attributes:
-      has_store: Whether the sender watches the store and gets responses.
+      has_store: Whether the sender gets the changes of the store: from its own
+        watch or, as a relay, from a daemon that watches.
       table_version: Version of the route table in force.
       list_revision: Revision of the target list.
+      watches_store: Whether it gets them from its own watch.
     """
 
     has_store: bool
     table_version: int
     list_revision: int
+    watches_store: bool = False
 
 
 class News(_Frame):
--- a/mimosahaven/mesh/replica.py
+++ b/mimosahaven/mesh/replica.py
@@ -95,10 +95,18 @@
             self.directory.lapsing(clock.monotonic_ms()),
         )
 
-    def heartbeat(self, has_store: bool) -> frames.Sign:
-        """Returns the heartbeat for the followers of this daemon."""
+    def heartbeat(self, watches_store: bool, now_ms: float) -> frames.Sign:
+        """Returns the heartbeat for the followers of this daemon.
+
+        Args:
+          watches_store: Whether it watches the store and gets responses.
+          now_ms: Current time.
+        """
         return frames.Sign(
-            has_store, self.table_version, self.directory.revision
+            self.watcher_selection.has_store(watches_store, now_ms),
+            self.table_version,
+            self.directory.revision,
+            watches_store,
         )
 
     async def refresh(self) -> bool:
@@ -119,7 +127,7 @@
         match frame:
             case frames.Sign():
                 self.watcher_selection.record_heartbeat(
-                    host, frame.has_store, now_ms
+                    host, frame.has_store, frame.watches_store, now_ms
                 )
                 self.on_peer_versions(
                     host, frame.table_version, frame.list_revision, now_ms
--- a/mimosahaven/mesh/watcherselection.py
+++ b/mimosahaven/mesh/watcherselection.py
@@ -14,8 +14,9 @@
 The selection needs no coordination: each daemon orders the failure domains,
 and the targets of a domain, by rendezvous hash. A daemon is live while its
 heartbeats say that it has the store: that it watches the store and gets
-responses or, as a relay, that it hears from a live fleet watcher. Relays do not
-consider other relays, so that two daemons never rely on each other alone.
+responses or, as a relay, that it hears from a daemon that does. Relays count
+only fleet watchers that watch the store themselves, so that daemons never rely
+on each other alone, not even if their target lists differ.
 """
 
 import dataclasses
@@ -57,11 +58,13 @@
 
     Attributes:
       heartbeat_ms: Arrival time.
-      has_store: Whether the daemon watches the store and gets responses.
+      has_store: Whether the daemon gets the changes of the store.
+      watches_store: Whether it gets them from its own watch.
     """
 
     heartbeat_ms: float
     has_store: bool
+    watches_store: bool
 
 
 class WatcherSelection:
@@ -147,16 +150,17 @@
         return chosen
 
     def record_heartbeat(
-        self, host: str, has_store: bool, now_ms: float
+        self, host: str, has_store: bool, watches_store: bool, now_ms: float
     ) -> None:
         """Records a heartbeat.
 
         Args:
           host: VM of the sender.
-          has_store: Whether the sender watches the store and gets responses.
+          has_store: Whether the sender gets the changes of the store.
+          watches_store: Whether it gets them from its own watch.
           now_ms: Current time.
         """
-        self._sources[host] = _Source(now_ms, has_store)
+        self._sources[host] = _Source(now_ms, has_store, watches_store)
 
     def forget(self, host: str) -> None:
         """Removes a source that has stopped or is unreachable."""
@@ -165,16 +169,13 @@
     def has_store(self, watches_store: bool, now_ms: float) -> bool:
         """Returns whether this daemon's heartbeats say that it has the store.
 
-        A fleet watcher has it only by its own watch, since the other one may
-        hear of the store from this one only.
-
         Args:
           watches_store: Whether it watches the store and gets responses.
           now_ms: Current time.
         """
-        if watches_store or self.is_fleet_watcher:
-            return watches_store
-        return self.is_relay and self._hears_fleet_watcher(now_ms)
+        return watches_store or (
+            self.is_relay and self._hears_fleet_watcher(now_ms)
+        )
 
     def should_watch(self, now_ms: float) -> bool:
         """Returns whether this daemon has to watch the store itself."""
@@ -194,7 +195,10 @@
         return now_ms - self._no_watcher_since_ms >= self._takeover_delay_ms()
 
     def _hears_fleet_watcher(self, now_ms: float) -> bool:
-        return any(self._is_live(host, now_ms) for host in self._fleet_watchers)
+        return any(
+            self._is_live(host, now_ms) and self._sources[host].watches_store
+            for host in self._fleet_watchers
+        )
 
     def _takeover_delay_ms(self) -> float:
         if self._local_host not in self._order:
@@ -209,7 +213,7 @@
         )
 
     def _is_live(self, host: str, now_ms: float) -> bool:
-        """Returns whether a daemon currently watches a working store."""
+        """Returns whether a daemon gets the changes of the store."""
         source = self._sources.get(host)
         return (
             source is not None
--- a/tests/mesh/test_watcherselection.py
+++ b/tests/mesh/test_watcherselection.py
@@ -63,7 +63,9 @@
                     has_store = selections[source].has_store(
                         watches_store, now_ms
                     )
-                    selection.record_heartbeat(source, has_store, now_ms)
+                    selection.record_heartbeat(
+                        source, has_store, watches_store, now_ms
+                    )
         watching = {
             host: selection.should_watch(now_ms)
             for host, selection in selections.items()
@@ -165,6 +167,27 @@
         )
         self.assertEqual(self.relays, watching)
 
+    def test_daemons_with_different_lists_do_not_rely_on_each_other(self):
+        # Each of two relays takes the other one for the only fleet watcher.
+        first, second = make_targets(2, 1)
+        selections = {}
+        for own, other in ((first, second), (second, first)):
+            selection = watcherselection.WatcherSelection(
+                own.host, own.failure_domain
+            )
+            selection.set_targets([own, other])
+            selection._fleet_watchers = [other.host]
+            selections[own.host] = selection
+        for selection in selections.values():
+            self.assertTrue(selection.is_relay)
+            for host in selections:
+                selection.record_heartbeat(host, True, True, 0.0)
+        # The first one to watch reads the current list from the store.
+        watching = set()
+        for start_ms in range(50, 1_050, 50):
+            watching |= simulate(selections, start_ms=start_ms, duration_ms=0.0)
+        self.assertNotEqual(set(), watching)
+
     def test_few_take_over_when_the_store_refuses_all_relays(self):
         watching = simulate(self.selections, no_store=self.relays)
         self.assertEqual(3, len(watching - self.relays))
