Do not judge requests that are in progress when the soak ends

Cause, from the record and the code: send_attempt sets the end of an attempt in every case but its own cancellation, and cancellation comes from stop() only, which first kills all daemons. The check took the end 0.0 for a time before any disruption and so found the attempt undisturbed. Change: an attempt without an end is not judged for LOST. All attempts that ended are judged as before; one that is not answered ends by its own timeout of 0.5 s after the deadline. Test: test_a_request_still_in_progress_at_the_end_of_the_soak, seen failing.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -193,6 +193,9 @@
     for attempt in observations.attempts:
         if attempt.status is not None or attempt.abandoned:
             continue
+        if not attempt.ended_s:
+            # In progress when the soak ended all processes.
+            continue
         if attempt.ended_s - attempt.sent_s < 0.2 and attempt.connection_reused:
             # The daemon may have closed the idle connection before it read the
             # request.
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -118,6 +118,14 @@
         found = violated_rules(attempts=reverted, runs=runs, tables=tables)
         self.assertEqual(["CONFIG"], found)
 
+    def test_a_request_still_in_progress_at_the_end_of_the_soak(self):
+        # Seen once, with seed 1 on a loaded machine. The soak ends all
+        # processes, and a planned stop may have begun shortly before.
+        stop = observations_lib.Disruption("term", 0, True, 99.0, 105.0)
+        pending = make_attempt(status=None, complete=False, ended_s=0.0)
+        found = violated_rules(attempts=[pending], disruptions=[stop])
+        self.assertEqual([], found)
+
     def test_a_request_interrupted_by_a_planned_stop(self):
         stop = observations_lib.Disruption("term", 0, True, 99.0, 105.0)
         interrupted = make_attempt(status=None)
