--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -135,3 +135,58 @@
             [(200, response)], lambda client: client.snapshot()
         )
         self.assertIsNone(snapshot.table)
+
+
+class EndlessStoreTest(testtools.TestCase):
+    """A store in trouble sends bytes without an end."""
+
+    # For each response: what it begins with, and what then repeats.
+    RESPONSES = (
+        (b"HTTP/1.1 200 ", b"x" * 16_384),
+        (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 2_000),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 16_384),
+    )
+
+    def test_a_response_without_an_end_is_a_failure(self):
+        for start, repeated in self.RESPONSES:
+            sent_bytes = self.run_against(start, repeated)
+            # The limit of a response, and the buffers of the sockets.
+            limit_bytes = store.RESPONSE_BYTES_MAX + 16_000_000
+            self.assertTrue(sent_bytes < limit_bytes, (start, sent_bytes))
+
+    def run_against(self, start, repeated):
+        """Returns the bytes that the store could send until it was cut off."""
+        sent_bytes = 0
+
+        async def handle(head, body, writer, number):
+            nonlocal sent_bytes
+            writer.write(start)
+            try:
+                while not writer.transport.is_closing():
+                    writer.write(repeated)
+                    sent_bytes += len(repeated)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+            except ConnectionError:
+                pass
+
+        async def scenario():
+            fake_store = rawtarget.RawTarget(handle)
+            port = await fake_store.start("127.0.0.1")
+            client = store.StoreFeed(
+                settings_lib.convert(
+                    {"endpoint": f"127.0.0.1:{port}"},
+                    settings_lib.StoreSettings,
+                )
+            )
+            try:
+                await client.snapshot()
+            except feed.FeedError:
+                return
+            finally:
+                await client.close()
+                fake_store.close()
+            self.fail("a response without an end was accepted")
+
+        asyncio.run(asyncio.wait_for(scenario(), 30))
+        return sent_bytes
