Show the rate limit that a target announces, and the requests sent to it

The logs could not tell whether a target got too much because its limit is not read, because refused runs are sent again, or because a restart brings a burst: they had neither the limit nor the number of requests that reach a target. Both are now in the state lines and the gauges; a changed announcement has a line, at most one per tick of the daemon. What is sent does not change yet.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -18,6 +18,7 @@
 from mimosahaven import shedding
 from mimosahaven import tasks as tasks_lib
 from mimosahaven.mesh import admission as admission_lib
+from mimosahaven.mesh import announcements
 from mimosahaven.mesh import callerserver
 from mimosahaven.mesh import eventlog
 from mimosahaven.mesh import feed as feed_lib
@@ -123,6 +124,7 @@
         self._last_request_ms = now_ms
         self._last_housekeeping_ms = now_ms
         self._state_logged_ms = now_ms
+        self._logged_announcement = announcements.Announcement()
 
     @property
     def ready(self) -> bool:
@@ -350,6 +352,22 @@
         if isinstance(frame, frames.Crash):
             self.log.event("target crashed", f"{len(frame.ran_ms)} runs")
 
+    def _log_announcement(self) -> None:
+        """Logs a change of what the target announces.
+
+        It is compared at intervals, as a target may announce something else in
+        each response.
+        """
+        if self.runner.announced == self._logged_announcement:
+            return
+        self._logged_announcement = self.runner.announced
+        limit_per_s = self._logged_announcement.rate_limit_per_s
+        limit = "none" if limit_per_s is None else f"{limit_per_s:g}/s"
+        self.log.event(
+            "target announces",
+            f"rate limit {limit}, {self.runner.sent_count} requests sent",
+        )
+
     def _update_local_load(self, now_ms: float) -> None:
         host = self.settings.target.host
         self.balancer.record_load(host, self.load(), now_ms)
@@ -415,6 +433,7 @@
             self.followers.publish(heartbeat)
         await self.replica.tick(now_ms)
         self._complete_startup()
+        self._log_announcement()
         if now_ms - self._last_housekeeping_ms >= 500:
             self._last_housekeeping_ms = now_ms
             self.peers.expire(now_ms)
--- a/mimosahaven/mesh/report.py
+++ b/mimosahaven/mesh/report.py
@@ -13,6 +13,7 @@
     admission = daemon.admission
     replica = daemon.replica
     contact_ms = daemon.store_watch.contact_ms
+    rate_limit_per_s = daemon.runner.announced.rate_limit_per_s
     age_ms = -1.0 if contact_ms is None else clock.monotonic_ms() - contact_ms
     return {
         "ready": float(daemon.ready),
@@ -21,6 +22,11 @@
         "target_limit": admission.limit,
         "target_mean_ms": admission.mean_ms,
         "target_down": float(daemon.runner.health.down),
+        # -1 for no limit: a target may announce that it accepts nothing.
+        "target_rate_limit_per_s": (
+            -1.0 if rate_limit_per_s is None else rate_limit_per_s
+        ),
+        "target_requests_sent": daemon.runner.sent_count,
         "shed_threshold": admission.threshold,
         "requests_in_flight": daemon.outbound.in_flight_count,
         "target_connections_opened": daemon.runner.pool.opened_count,
@@ -44,5 +50,6 @@
         f"{admission.waiting} waiting, "
         f"mean {admission.mean_ms:.0f} ms, threshold {admission.threshold}, "
         f"{daemon.outbound.in_flight_count} requests in flight, "
+        f"{daemon.runner.sent_count} requests sent, "
         f"{daemon.runner.pool.opened_count} connections opened"
     )
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -11,6 +11,7 @@
 from mimosahaven import identity
 from mimosahaven import tasks as tasks_lib
 from mimosahaven.mesh import admission as admission_lib
+from mimosahaven.mesh import announcements
 from mimosahaven.mesh import crashtracker as crashtracker_lib
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import http1
@@ -65,6 +66,8 @@
       crashes: Crashes of the service's targets, by fingerprint of the request.
       notify_service: Sends a frame to the other daemons of the service.
       health: Health of the target.
+      announced: Latest announcement of the target.
+      sent_count: Number of requests sent to the target.
       refuse_code: Code with which all runs are refused, or None.
     """
 
@@ -109,6 +112,11 @@
         ] = collections.OrderedDict()
         self._tasks = tasks
         self.health = targethealth.TargetHealth(now_ms)
+        self._announcement_reader = announcements.AnnouncementReader(
+            settings.headers
+        )
+        self.announced = announcements.Announcement()
+        self.sent_count = 0
         self.refuse_code: Code | None = Code.STARTING
 
     async def run(self, send: outcomes.Send) -> outcomes.Outcome:
@@ -237,6 +245,7 @@
                 return outcomes.Refused(Code.DEADLINE_BEFORE_RUN)
             self.in_flight.add(parent)
             self._running[connection] = run
+            self.sent_count += 1
             stream = connection.send(
                 self._encode_request(send, now_ms),
                 run.attempt_id.encode("latin-1"),
@@ -250,6 +259,7 @@
                 service_ms = clock.monotonic_ms() - started_ms
                 return outcomes.Failed(Code.TIMEOUT)
             self.health.record_response(clock.monotonic_ms())
+            self._record_announcement(stream)
             outcome = self._classify_response(stream)
             self._record_crash_evidence(run, stream, now_ms)
             if isinstance(outcome, outcomes.Answered):
@@ -383,6 +393,21 @@
         ]
         return http1.encode_request(run.method, run.path, headers, run.body)
 
+    def _record_announcement(
+        self, stream: responsestream.ResponseStream
+    ) -> None:
+        """Records what the target announces in a response.
+
+        A response without a valid head says nothing, and neither does an
+        invalid announcement: the previous one stays in force.
+        """
+        if not stream.status:
+            return
+        try:
+            self.announced = self._announcement_reader.read(stream.headers)
+        except announcements.InvalidAnnouncementError:
+            return
+
     def _classify_response(
         self, stream: responsestream.ResponseStream
     ) -> outcomes.Outcome:
--- a/mimosahaven/mesh/settings.py
+++ b/mimosahaven/mesh/settings.py
@@ -45,7 +45,12 @@
 
 
 class HeaderNames(SettingsStruct):
-    """Names of the HTTP headers that the mesh reads and sets."""
+    """Names of the HTTP headers that the mesh reads and sets.
+
+    Attributes:
+      rate_limit: In responses of a target: requests per second that it accepts
+        from all daemons together. Responses without it lift the limit.
+    """
 
     attempt_id: str = "Mimosahaven-Attempt"
     deadline_ms: str = "Mimosahaven-Deadline-Ms"
@@ -53,6 +58,7 @@
     target_id: str = "Mimosahaven-Target"
     not_run: str = "Mimosahaven-Not-Run"
     caller: str = "Mimosahaven-Caller"
+    rate_limit: str = "Mimosahaven-Rate-Limit"
 
 
 class ListenSettings(SettingsStruct):
