Send a target no more than the rate that it announces

Cause: nothing read the limit. Class of fault: a signal of the target in its responses that no decision uses. Not retries: no target refused anything ("not run" 0 for katalog). Not restarts: the excess is there from the first second of the rule, 4 s before the restart.

Change: admission control, at the one daemon through which all requests to a target pass, starts runs at the announced rate. The queue, the reported concurrency and the shed threshold follow from it, so that runs go to other targets and requests are shed at the sending daemon as for any full target. A run carries the limit that its sender has last passed on: after a restart, the target's daemon would otherwise fill all slots before the first response.

Why it works: the limit holds where requests arrive; it needs no other daemon, no shares and no store. A restart of that daemon is the one gap, which the senders' limits close; those that do not know the limit do not count.

--- a/mimosahaven/mesh/admission.py
+++ b/mimosahaven/mesh/admission.py
@@ -17,6 +17,7 @@
 from mimosahaven import identity
 from mimosahaven import loadstats
 from mimosahaven import shedding
+from mimosahaven.mesh import ratelimit
 
 Code = codes.Code
 
@@ -94,6 +95,7 @@
 
     def __init__(self, slots: int, now_ms: float):
         self.running = 0
+        self._rate_limiter = ratelimit.TargetRateLimiter()
         self._queue = admissionqueue.AdmissionQueue()
         self._service_time = loadstats.ServiceTimeEstimate()
         self._threshold = shedding.ShedThreshold()
@@ -107,6 +109,38 @@
         self.slots = slots
         self.limit = max(1, math.floor(slots * SLOT_FILL_SHARE))
 
+    @property
+    def rate_limit_per_s(self) -> float | None:
+        """Maximum rate at which runs start, or None for no limit."""
+        return self._rate_limiter.limit_per_s
+
+    def set_rate_limit(self, limit_per_s: float | None, now_ms: float) -> None:
+        """Sets or lifts the maximum rate at which runs start."""
+        self._advance_window(now_ms)
+        self._rate_limiter.set_limit(limit_per_s, now_ms)
+
+    @property
+    def usable_limit(self) -> int:
+        """Number of concurrent runs that the target can sustain.
+
+        A rate limit may allow fewer than the slots: by Little's law, the rate
+        times the mean run time.
+        """
+        mean_ms = self._service_time.mean_ms
+        if self.rate_limit_per_s is None or not mean_ms:
+            return self.limit
+        sustained = math.ceil(self.rate_limit_per_s * mean_ms / 1000)
+        return min(self.limit, max(1, sustained))
+
+    def next_dispatch_ms(self, now_ms: float) -> float | None:
+        """Returns when the rate limit admits the next queued run.
+
+        None if no run waits for the rate limit.
+        """
+        if not len(self._queue) or self.running >= self.limit:
+            return None
+        return self._rate_limiter.next_send_ms(now_ms)
+
     @property
     def waiting(self) -> int:
         """Number of queued runs."""
@@ -114,14 +148,21 @@
 
     @property
     def mean_ms(self) -> float:
-        """Mean run time; 0 when no run has ended recently.
+        """Mean time for which a run occupies a unit of `usable_limit`.
 
-        A stale high mean would keep requests away from an idle target for
-        good, since only new runs can show that it is no longer slow.
+        This is the mean run time, unless a rate limit allows less than one
+        concurrent run. It is 0 when no run has ended recently: a stale high
+        mean would keep requests away from an idle target for good, since only
+        new runs can show that it is no longer slow.
         """
         if self._updated_ms - self._finished_ms > MEAN_MAX_AGE_MS:
             return 0.0
-        return self._service_time.mean_ms
+        mean_ms = self._service_time.mean_ms
+        if self.rate_limit_per_s is not None:
+            mean_ms = max(
+                mean_ms, self.usable_limit * 1000 / self.rate_limit_per_s
+            )
+        return mean_ms
 
     @property
     def threshold(self) -> int:
@@ -188,13 +229,17 @@
             return
         for request in queue.expired(now_ms + self._service_time.expected_ms):
             self._reject(request, Code.DEADLINE_BEFORE_RUN, decisions)
-        while self.running < self.limit and len(queue):
+        while (
+            self.running < self.limit
+            and len(queue)
+            and self._rate_limiter.try_acquire(now_ms)
+        ):
             request = queue.peek_highest()
             queue.remove(request)
             self.running += 1
             self._window.started += 1
             decisions.run.append(request)
-        queue_max = math.ceil(self.limit * QUEUE_FACTOR)
+        queue_max = math.ceil(self.usable_limit * QUEUE_FACTOR)
         while len(queue) > queue_max:
             request = queue.peek_lowest()
             code = Code.QUEUE_FULL if request is new else Code.DISPLACED
@@ -231,8 +276,15 @@
             self._service_time.decay()
         mean_waiting = window.waiting_ms / elapsed_ms
         utilization = window.running_ms / elapsed_ms / self.limit
+        if self.rate_limit_per_s is not None:
+            rate_per_s = window.started / elapsed_ms * 1000
+            utilization = max(utilization, rate_per_s / self.rate_limit_per_s)
+        wait_target_ms = WAIT_TARGET_MS
+        if self.rate_limit_per_s is not None:
+            # Without any overload, a run waits for its turn at the limit.
+            wait_target_ms += 1000 / self.rate_limit_per_s
         # Little's law: mean queue length = throughput * waiting time.
-        allowed_waiting = WAIT_TARGET_MS * max(1, window.served) / elapsed_ms
+        allowed_waiting = wait_target_ms * max(1, window.served) / elapsed_ms
         if mean_waiting > allowed_waiting or window.queue_refusals:
             share = window.excess_share(mean_waiting - allowed_waiting)
             self._threshold.raise_by(share * CORRECTION_SHARE, None)
--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -18,7 +18,6 @@
 from mimosahaven import shedding
 from mimosahaven import tasks as tasks_lib
 from mimosahaven.mesh import admission as admission_lib
-from mimosahaven.mesh import announcements
 from mimosahaven.mesh import callerserver
 from mimosahaven.mesh import eventlog
 from mimosahaven.mesh import feed as feed_lib
@@ -124,7 +123,7 @@
         self._last_request_ms = now_ms
         self._last_housekeeping_ms = now_ms
         self._state_logged_ms = now_ms
-        self._logged_announcement = announcements.Announcement()
+        self._logged_rate_limit_per_s: float | None = None
 
     @property
     def ready(self) -> bool:
@@ -178,7 +177,7 @@
         return frames.Load(
             self.admission.running,
             self.admission.waiting,
-            0 if self.runner.health.down else self.admission.limit,
+            0 if self.runner.health.down else self.admission.usable_limit,
             self.admission.mean_ms,
             self.admission.threshold,
             thresholds,
@@ -352,16 +351,16 @@
         if isinstance(frame, frames.Crash):
             self.log.event("target crashed", f"{len(frame.ran_ms)} runs")
 
-    def _log_announcement(self) -> None:
-        """Logs a change of what the target announces.
+    def _log_rate_limit(self) -> None:
+        """Logs a change of the rate limit that the target announces.
 
         It is compared at intervals, as a target may announce something else in
         each response.
         """
-        if self.runner.announced == self._logged_announcement:
+        limit_per_s = self.admission.rate_limit_per_s
+        if limit_per_s == self._logged_rate_limit_per_s:
             return
-        self._logged_announcement = self.runner.announced
-        limit_per_s = self._logged_announcement.rate_limit_per_s
+        self._logged_rate_limit_per_s = limit_per_s
         limit = "none" if limit_per_s is None else f"{limit_per_s:g}/s"
         self.log.event(
             "target announces",
@@ -433,7 +432,7 @@
             self.followers.publish(heartbeat)
         await self.replica.tick(now_ms)
         self._complete_startup()
-        self._log_announcement()
+        self._log_rate_limit()
         if now_ms - self._last_housekeeping_ms >= 500:
             self._last_housekeeping_ms = now_ms
             self.peers.expire(now_ms)
--- a/mimosahaven/mesh/frames.py
+++ b/mimosahaven/mesh/frames.py
@@ -80,6 +80,8 @@
       body: Complete body.
       table_version: Version of the route table at the sender.
       list_revision: Revision of the target list at the sender.
+      rate_limit_per_s: Rate limit of the target in the latest response of it
+        that the sender has passed on; None for no limit.
     """
 
     sender_host: str
@@ -98,6 +100,7 @@
     body: bytes
     table_version: int
     list_revision: int
+    rate_limit_per_s: float | None = None
 
 
 class Accepted(_Frame):
--- a/mimosahaven/mesh/outbound.py
+++ b/mimosahaven/mesh/outbound.py
@@ -7,6 +7,7 @@
 from mimosahaven import codes
 from mimosahaven import identity
 from mimosahaven import shedding
+from mimosahaven.mesh import announcements
 from mimosahaven.mesh import callerserver
 from mimosahaven.mesh import calltreecosts
 from mimosahaven.mesh import eventlog
@@ -18,6 +19,7 @@
 from mimosahaven.mesh import records
 from mimosahaven.mesh import replica as replica_lib
 from mimosahaven.mesh import requestcontext as context_lib
+from mimosahaven.mesh import responsestream
 from mimosahaven.mesh import retrybudget
 from mimosahaven.mesh import runner as runner_lib
 from mimosahaven.mesh import sendhistory
@@ -101,6 +103,10 @@
             settings.headers, runner.in_flight
         )
         self._costs = calltreecosts.CallTreeCosts()
+        self._announcement_reader = announcements.AnnouncementReader(
+            settings.headers
+        )
+        self._announcements = announcements.KnownAnnouncements()
         self._send_count = 0
         self._unavailable_since_ms: dict[str, float] = {}
         self.refuse_code: Code | None = Code.STARTING
@@ -295,6 +301,7 @@
             context.request.body,
             self._replica.table_version,
             self._replica.directory.revision,
+            self._announcements.rate_limit_per_s(target),
         )
         send = outcomes.Send(run, context.deadline_ms, context.root_ms)
         state = self._balancer.state(target)
@@ -351,6 +358,7 @@
     ) -> Response:
         stream = outcome.stream
         now_ms = clock.monotonic_ms()
+        self._record_announcement(target, stream)
         if stream.status < 300:
             self._costs.record(context.route.name, context.service, stream.tree)
         if context.parent is not None:
@@ -369,6 +377,15 @@
         )
         return Response(stream.status, stream=stream)
 
+    def _record_announcement(
+        self, target: records.Target, stream: responsestream.ResponseStream
+    ) -> None:
+        try:
+            announcement = self._announcement_reader.read(stream.headers)
+        except announcements.InvalidAnnouncementError:
+            return
+        self._announcements.record(target, announcement)
+
     def _refuse_exhausted(
         self,
         context: context_lib.RequestContext,
--- a/mimosahaven/mesh/report.py
+++ b/mimosahaven/mesh/report.py
@@ -13,13 +13,13 @@
     admission = daemon.admission
     replica = daemon.replica
     contact_ms = daemon.store_watch.contact_ms
-    rate_limit_per_s = daemon.runner.announced.rate_limit_per_s
+    rate_limit_per_s = daemon.admission.rate_limit_per_s
     age_ms = -1.0 if contact_ms is None else clock.monotonic_ms() - contact_ms
     return {
         "ready": float(daemon.ready),
         "target_running": admission.running,
         "target_waiting": admission.waiting,
-        "target_limit": admission.limit,
+        "target_limit": admission.usable_limit,
         "target_mean_ms": admission.mean_ms,
         "target_down": float(daemon.runner.health.down),
         # -1 for no limit: a target may announce that it accepts nothing.
@@ -46,7 +46,7 @@
     """Returns the state of the local target for the log."""
     admission = daemon.admission
     return (
-        f"target {admission.running}/{admission.limit} running, "
+        f"target {admission.running}/{admission.usable_limit} running, "
         f"{admission.waiting} waiting, "
         f"mean {admission.mean_ms:.0f} ms, threshold {admission.threshold}, "
         f"{daemon.outbound.in_flight_count} requests in flight, "
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -66,7 +66,8 @@
       crashes: Crashes of the service's targets, by fingerprint of the request.
       notify_service: Sends a frame to the other daemons of the service.
       health: Health of the target.
-      announced: Latest announcement of the target.
+      announced: Latest announcement of the target; None before its first
+        response to this daemon.
       sent_count: Number of requests sent to the target.
       refuse_code: Code with which all runs are refused, or None.
     """
@@ -115,7 +116,8 @@
         self._announcement_reader = announcements.AnnouncementReader(
             settings.headers
         )
-        self.announced = announcements.Announcement()
+        self.announced: announcements.Announcement | None = None
+        self._dispatch_timer: asyncio.TimerHandle | None = None
         self.sent_count = 0
         self.refuse_code: Code | None = Code.STARTING
 
@@ -175,6 +177,7 @@
 
     async def _admit_and_run(self, send: outcomes.Send) -> outcomes.Outcome:
         now_ms = clock.monotonic_ms()
+        self._adopt_rate_limit(send.run.rate_limit_per_s, now_ms)
         admission_request = admission_lib.AdmissionRequest(
             send.run.priority, send.deadline_ms, send.root_ms
         )
@@ -203,6 +206,21 @@
             self._apply_decision(admission_request, None)
         for admission_request, code in decisions.refused:
             self._apply_decision(admission_request, code)
+        if self._dispatch_timer is None:
+            self._start_dispatch_timer()
+
+    def _start_dispatch_timer(self) -> None:
+        """Schedules the dispatch of a run that waits for the rate limit."""
+        now_ms = clock.monotonic_ms()
+        due_ms = self.admission.next_dispatch_ms(now_ms)
+        if due_ms is not None:
+            self._dispatch_timer = asyncio.get_running_loop().call_later(
+                (due_ms - now_ms) / 1000, self._on_dispatch_due
+            )
+
+    def _on_dispatch_due(self) -> None:
+        self._dispatch_timer = None
+        self._apply_decisions(self.admission.tick(clock.monotonic_ms()))
 
     def _apply_decision(
         self,
@@ -407,6 +425,23 @@
             self.announced = self._announcement_reader.read(stream.headers)
         except announcements.InvalidAnnouncementError:
             return
+        self.admission.set_rate_limit(
+            self.announced.rate_limit_per_s, clock.monotonic_ms()
+        )
+
+    def _adopt_rate_limit(
+        self, rate_limit_per_s: float | None, now_ms: float
+    ) -> None:
+        """Adopts the rate limit that a sender knows.
+
+        Only until the first response: a daemon that has just started does not
+        know what its target has announced to the previous process.
+        """
+        if self.announced is not None or rate_limit_per_s is None:
+            return
+        known_per_s = self.admission.rate_limit_per_s
+        if known_per_s is None or rate_limit_per_s < known_per_s:
+            self.admission.set_rate_limit(rate_limit_per_s, now_ms)
 
     def _classify_response(
         self, stream: responsestream.ResponseStream
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -50,9 +50,10 @@
       services: Service of each daemon's target.
       handlers: Request handler of each target; None for the default.
       routes: Routes of the table; None for one default route.
+      slots: Requests that each target processes at a time.
     """
 
-    def __init__(self, services, handlers=None, routes=None):
+    def __init__(self, services, handlers=None, routes=None, slots=10):
         self._network = f"127.{os.getpid() % 250 + 1}.{next(_NETWORKS)}"
         self.hosts = [f"{self._network}.{i + 1}" for i in range(len(services))]
         self.services = services
@@ -61,7 +62,11 @@
         table = samples.table(*(routes or [samples.route()]))
         target_records = [
             samples.target(
-                f"i-{i}", host, service=services[i], port=TARGET_PORT
+                f"i-{i}",
+                host,
+                service=services[i],
+                port=TARGET_PORT,
+                slots=slots,
             )
             for i, host in enumerate(self.hosts)
         ]
@@ -71,24 +76,7 @@
     async def __aenter__(self):
         for i, host in enumerate(self.hosts):
             await self.targets[i].start(host, TARGET_PORT)
-            settings = settings_lib.convert(
-                {
-                    "vm": f"vm-{i}",
-                    "failure_domain": "a",
-                    "service": self.services[i],
-                    "target": f"{host}:{TARGET_PORT}",
-                    "listen": {
-                        "callers": f"{host}:{CALLERS_PORT}",
-                        "peers": f"{host}:{PEERS_PORT}",
-                        "readiness": f"{host}:{READY_PORT}",
-                    },
-                    "store": {"endpoint": f"{host}:1"},
-                },
-                settings_lib.MeshSettings,
-            )
-            daemon = daemon_lib.MeshDaemon(settings, self.feeds[i])
-            await daemon.start()
-            self.daemons.append(daemon)
+            self.daemons.append(await self._start_daemon(i))
         await wait_until(lambda: all(daemon.ready for daemon in self.daemons))
         return self
 
@@ -99,6 +87,34 @@
             target.close()
         await asyncio.sleep(0)
 
+    async def restart(self, index):
+        """Replaces a daemon by one that knows nothing of before."""
+        self.daemons[index].stop()
+        await asyncio.sleep(0)
+        self.daemons[index] = await self._start_daemon(index)
+        await wait_until(lambda: self.daemons[index].ready)
+
+    async def _start_daemon(self, index):
+        host = self.hosts[index]
+        settings = settings_lib.convert(
+            {
+                "vm": f"vm-{index}",
+                "failure_domain": "a",
+                "service": self.services[index],
+                "target": f"{host}:{TARGET_PORT}",
+                "listen": {
+                    "callers": f"{host}:{CALLERS_PORT}",
+                    "peers": f"{host}:{PEERS_PORT}",
+                    "readiness": f"{host}:{READY_PORT}",
+                },
+                "store": {"endpoint": f"{host}:1"},
+            },
+            settings_lib.MeshSettings,
+        )
+        daemon = daemon_lib.MeshDaemon(settings, self.feeds[index])
+        await daemon.start()
+        return daemon
+
     @contextlib.asynccontextmanager
     async def connect(self, index=0):
         reader, writer = await asyncio.open_connection(
