Stop sending to a target that announces that it leaves

What callers may see: new requests end at a target that is about to stop, when the list of targets does not say so yet, or no longer.

Cause: the same class of fault as the rate limit, a signal in the responses that no decision uses. Only the list told who leaves, and a daemon that is cut off from it, or has an older one, went on sending.

It is final for this start of the target (ID and start time, which the list has), whatever later entries say; both memories are bounded.

Also: the rate limit that senders remember is now that of one start of a target.

--- a/mimosahaven/mesh/announcements.py
+++ b/mimosahaven/mesh/announcements.py
@@ -8,8 +8,9 @@
 from mimosahaven.mesh import records
 from mimosahaven.mesh import settings as settings_lib
 
-# Bounds the memory of announcements; the oldest ones are forgotten first.
+# Bounds the memory of rate limits; the oldest ones are forgotten first.
 KNOWN_MAX = 4_096
+LEAVING_VALUE = b"1"
 
 
 class InvalidAnnouncementError(ValueError):
@@ -22,9 +23,11 @@
     Attributes:
       rate_limit_per_s: Requests per second that the target accepts from all
         daemons together; None for no limit.
+      leaving: Whether the target is about to stop and accepts no new work.
     """
 
     rate_limit_per_s: float | None = None
+    leaving: bool = False
 
 
 class AnnouncementReader:
@@ -32,6 +35,7 @@
 
     def __init__(self, headers: settings_lib.HeaderNames):
         self._rate_limit_header = headers.rate_limit.lower().encode()
+        self._leaving_header = headers.leaving.lower().encode()
 
     def read(self, headers: http1.HeaderList) -> Announcement:
         """Returns what a target announces in the headers of a response.
@@ -39,36 +43,39 @@
         Raises:
           InvalidAnnouncementError: The rate limit is not a decimal number.
         """
-        value = http1.find_header(headers, self._rate_limit_header)
-        return Announcement(None if value is None else _parse_rate(value))
+        rate = http1.find_header(headers, self._rate_limit_header)
+        leaving = http1.find_header(headers, self._leaving_header)
+        return Announcement(
+            None if rate is None else _parse_rate(rate),
+            leaving == LEAVING_VALUE,
+        )
 
 
-class KnownAnnouncements:
-    """Latest announcements in the responses that this daemon has passed on."""
+class KnownRateLimits:
+    """Rate limits in the latest responses that this daemon has passed on."""
 
     def __init__(self):
-        self._by_target: collections.OrderedDict[str, Announcement] = (
-            collections.OrderedDict()
-        )
+        self._by_incarnation: collections.OrderedDict[
+            records.Incarnation, float
+        ] = collections.OrderedDict()
 
     def __len__(self) -> int:
-        return len(self._by_target)
+        return len(self._by_incarnation)
 
     def record(
-        self, target: records.Target, announcement: Announcement
+        self, target: records.Target, rate_limit_per_s: float | None
     ) -> None:
-        """Records the announcement in a response of a target."""
-        self._by_target.pop(target.target_id, None)
-        if announcement == Announcement():
+        """Records what a response of a target says of its rate limit."""
+        self._by_incarnation.pop(target.incarnation, None)
+        if rate_limit_per_s is None:
             return
-        self._by_target[target.target_id] = announcement
-        if len(self._by_target) > KNOWN_MAX:
-            self._by_target.popitem(last=False)
-
-    def rate_limit_per_s(self, target: records.Target) -> float | None:
-        """Returns the announced rate limit of a target, or None."""
-        announcement = self._by_target.get(target.target_id)
-        return announcement.rate_limit_per_s if announcement else None
+        self._by_incarnation[target.incarnation] = rate_limit_per_s
+        if len(self._by_incarnation) > KNOWN_MAX:
+            self._by_incarnation.popitem(last=False)
+
+    def get(self, target: records.Target) -> float | None:
+        """Returns the rate limit of a target per second, or None."""
+        return self._by_incarnation.get(target.incarnation)
 
 
 def _parse_rate(value: bytes) -> float:
--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -80,6 +80,7 @@
             settings, self.admission, self.in_flight, self.tasks, now_ms
         )
         self.runner.notify_service = self._notify_service
+        self.runner.on_leaving = self._on_target_leaving
         self.balancer = loadbalancer_lib.LoadBalancer(
             settings.failure_domain, settings.target.host, rng
         )
@@ -351,6 +352,12 @@
         if isinstance(frame, frames.Crash):
             self.log.event("target crashed", f"{len(frame.ran_ms)} runs")
 
+    def _on_target_leaving(self, target_id: str) -> None:
+        """Handles the announcement of the local target that it leaves."""
+        target = self.replica.directory.get(target_id)
+        if target is not None:
+            self.replica.mark_leaving(target)
+
     def _log_rate_limit(self) -> None:
         """Logs a change of the rate limit that the target announces.
 
@@ -393,8 +400,7 @@
             self.settings.target.host, self.settings.target.port
         )
         self.target_drain.observe(
-            local_target is not None
-            and local_target.state == records.SERVING_STATE,
+            local_target is not None and directory.is_serving(local_target),
             clock.monotonic_ms(),
         )
         if (
--- a/mimosahaven/mesh/directory.py
+++ b/mimosahaven/mesh/directory.py
@@ -1,5 +1,6 @@
 """Local replica of the list of targets in the mesh."""
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -9,6 +10,9 @@
 # platform's documentation states that live targets whose entries expired during
 # the outage rewrite them within two seconds of the store's return.
 LAPSE_GRACE_MS = 2_300.0
+# Bounds the memory of targets that leave; the oldest ones are forgotten first,
+# long after they have gone.
+LEAVING_MAX = 4_096
 
 
 class TargetDirectory:
@@ -17,6 +21,9 @@
     An entry that is missing from the store after an outage is lapsing: its
     target may be live, so it is kept for LAPSE_GRACE_MS.
 
+    A target that has announced that it leaves does not serve again before it is
+    started anew, whatever its entry says.
+
     Attributes:
       revision: Store revision up to which the replica is complete.
     """
@@ -25,6 +32,9 @@
         self.revision = 0
         self._targets: dict[str, records.Target] = {}
         self._lapsing: dict[str, float] = {}
+        self._leaving: collections.OrderedDict[records.Incarnation, None] = (
+            collections.OrderedDict()
+        )
         self._by_service: dict[str, tuple[records.Target, ...]] = {}
         self._by_address: dict[tuple[str, int], records.Target] = {}
 
@@ -163,12 +173,36 @@
             targets = tuple(
                 target
                 for target in newest.values()
-                if target.service == service
-                and target.state == records.SERVING_STATE
+                if target.service == service and self.is_serving(target)
             )
             self._by_service[service] = targets
         return targets
 
+    def is_serving(self, target: records.Target) -> bool:
+        """Returns whether a target accepts new work."""
+        return (
+            target.state == records.SERVING_STATE
+            and target.incarnation not in self._leaving
+        )
+
+    def mark_leaving(self, target: records.Target) -> bool:
+        """Records that a target has announced that it leaves.
+
+        Returns:
+          Whether this is new.
+        """
+        if target.incarnation in self._leaving:
+            return False
+        self._leaving[target.incarnation] = None
+        if len(self._leaving) > LEAVING_MAX:
+            self._leaving.popitem(last=False)
+        self._clear_indexes()
+        return True
+
+    def get(self, target_id: str) -> records.Target | None:
+        """Returns the entry with an ID, or None."""
+        return self._targets.get(target_id)
+
     def at_address(self, host: str, port: int) -> records.Target | None:
         """Returns the newest entry with an address, or None."""
         return self._newest_by_address().get((host, port))
--- a/mimosahaven/mesh/outbound.py
+++ b/mimosahaven/mesh/outbound.py
@@ -106,7 +106,7 @@
         self._announcement_reader = announcements.AnnouncementReader(
             settings.headers
         )
-        self._announcements = announcements.KnownAnnouncements()
+        self._rate_limits = announcements.KnownRateLimits()
         self._send_count = 0
         self._unavailable_since_ms: dict[str, float] = {}
         self.refuse_code: Code | None = Code.STARTING
@@ -301,7 +301,7 @@
             context.request.body,
             self._replica.table_version,
             self._replica.directory.revision,
-            self._announcements.rate_limit_per_s(target),
+            self._rate_limits.get(target),
         )
         send = outcomes.Send(run, context.deadline_ms, context.root_ms)
         state = self._balancer.state(target)
@@ -384,7 +384,9 @@
             announcement = self._announcement_reader.read(stream.headers)
         except announcements.InvalidAnnouncementError:
             return
-        self._announcements.record(target, announcement)
+        self._rate_limits.record(target, announcement.rate_limit_per_s)
+        if announcement.leaving:
+            self._replica.mark_leaving(target)
 
     def _refuse_exhausted(
         self,
--- a/mimosahaven/mesh/records.py
+++ b/mimosahaven/mesh/records.py
@@ -6,6 +6,8 @@
 
 SERVING_STATE = "serving"
 DRAINING_STATE = "draining"
+# ID of a target and the time of its start, in Unix milliseconds.
+Incarnation = tuple[str, int]
 
 
 class RepeatRule(enum.Enum):
@@ -93,6 +95,8 @@
       state: SERVING_STATE or DRAINING_STATE.
       cold_ms: Remaining cold-start time when the entry was written.
       revision: Store revision that wrote the entry.
+      started_unix_ms: When this incarnation started. A target may start again
+        under the ID that it had.
     """
 
     target_id: str
@@ -104,3 +108,9 @@
     state: str
     cold_ms: float = 0.0
     revision: int = 0
+    started_unix_ms: int = 0
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Identifies this start of the target."""
+        return self.target_id, self.started_unix_ms
--- a/mimosahaven/mesh/replica.py
+++ b/mimosahaven/mesh/replica.py
@@ -109,6 +109,14 @@
             watches_store,
         )
 
+    def mark_leaving(self, target: records.Target) -> None:
+        """Stops the use of a target that has announced that it leaves."""
+        if self.directory.mark_leaving(target):
+            self._log.event(
+                "target leaving", f"{target.target_id} {target.service}"
+            )
+            self._notify_change()
+
     async def refresh(self) -> bool:
         """Fetches updates from the sources after this process was paused.
 
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -68,6 +68,8 @@
       health: Health of the target.
       announced: Latest announcement of the target; None before its first
         response to this daemon.
+      on_leaving: Called with the ID of the target when it announces that it
+        leaves.
       sent_count: Number of requests sent to the target.
       refuse_code: Code with which all runs are refused, or None.
     """
@@ -117,6 +119,7 @@
             settings.headers
         )
         self.announced: announcements.Announcement | None = None
+        self.on_leaving: Callable[[str], None] = lambda target_id: None
         self._dispatch_timer: asyncio.TimerHandle | None = None
         self.sent_count = 0
         self.refuse_code: Code | None = Code.STARTING
@@ -277,7 +280,7 @@
                 service_ms = clock.monotonic_ms() - started_ms
                 return outcomes.Failed(Code.TIMEOUT)
             self.health.record_response(clock.monotonic_ms())
-            self._record_announcement(stream)
+            self._record_announcement(run, stream)
             outcome = self._classify_response(stream)
             self._record_crash_evidence(run, stream, now_ms)
             if isinstance(outcome, outcomes.Answered):
@@ -412,7 +415,7 @@
         return http1.encode_request(run.method, run.path, headers, run.body)
 
     def _record_announcement(
-        self, stream: responsestream.ResponseStream
+        self, run: frames.Run, stream: responsestream.ResponseStream
     ) -> None:
         """Records what the target announces in a response.
 
@@ -428,6 +431,8 @@
         self.admission.set_rate_limit(
             self.announced.rate_limit_per_s, clock.monotonic_ms()
         )
+        if self.announced.leaving:
+            self.on_leaving(run.target_id)
 
     def _adopt_rate_limit(
         self, rate_limit_per_s: float | None, now_ms: float
--- a/mimosahaven/mesh/settings.py
+++ b/mimosahaven/mesh/settings.py
@@ -50,6 +50,7 @@
     Attributes:
       rate_limit: In responses of a target: requests per second that it accepts
         from all daemons together. Responses without it lift the limit.
+      leaving: In responses of a target that accepts no new work: 1.
     """
 
     attempt_id: str = "Mimosahaven-Attempt"
@@ -59,6 +60,7 @@
     not_run: str = "Mimosahaven-Not-Run"
     caller: str = "Mimosahaven-Caller"
     rate_limit: str = "Mimosahaven-Rate-Limit"
+    leaving: str = "Mimosahaven-Leaving"
 
 
 class ListenSettings(SettingsStruct):
--- a/tests/mesh/test_directory.py
+++ b/tests/mesh/test_directory.py
@@ -57,3 +57,41 @@
     def test_entry_removed_without_an_outage_is_removed_immediately(self):
         self.directory.remove("i-1", 1000.0, False)
         self.assertEqual({"i-2"}, self.serving())
+
+
+class LeavingTargetTest(testtools.TestCase):
+    """Guards against DRAIN: a target that has said that it leaves is used.
+
+    The list does not say so, or no longer.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.directory = directory_lib.TargetDirectory()
+        self.target = samples.target("i-1", started_unix_ms=5)
+        self.directory.put(self.target)
+        self.assertTrue(self.directory.mark_leaving(self.target))
+
+    def serving(self):
+        return {t.target_id for t in self.directory.serving("katalog")}
+
+    def test_it_is_not_serving(self):
+        self.assertEqual(set(), self.serving())
+        self.assertFalse(self.directory.mark_leaving(self.target))
+
+    def test_a_later_entry_does_not_bring_it_back(self):
+        self.directory.put(samples.target("i-1", started_unix_ms=5, revision=9))
+        self.assertEqual(set(), self.serving())
+        self.directory.remove("i-1", 0.0, False)
+        self.directory.replace([self.target], 10, 0.0, False)
+        self.assertEqual(set(), self.serving())
+
+    def test_its_next_incarnation_serves(self):
+        self.directory.put(samples.target("i-1", started_unix_ms=6, revision=9))
+        self.assertEqual({"i-1"}, self.serving())
+
+    def test_memory_is_bounded(self):
+        for number in range(directory_lib.LEAVING_MAX):
+            self.directory.mark_leaving(samples.target(f"i-{number + 2}"))
+        # The oldest one is forgotten.
+        self.assertEqual({"i-1"}, self.serving())
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -118,6 +118,7 @@
         self.assertEqual(records.SERVING_STATE, target.state)
         self.assertEqual(1500.0, target.cold_ms)
         self.assertEqual((91, 5), (target.slots, target.revision))
+        self.assertEqual(("i-1", 1_700_000_000_000), target.incarnation)
 
     def test_invalid_entries_decode_to_none(self):
         changes = (
