Let the soak's targets announce rate limits and that they leave

Targets announce a rate limit for 5 to 16 s, once or twice, while their daemons are killed, stopped, paused and cut; and replaced targets say in their responses that they leave, with or without an entry that says so. The checks follow the platform's rules: windows of 4 s, counted for the daemons that had passed on the announcement and have not restarted or paused since.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -20,6 +20,13 @@
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10.0
 RETRY_SLACK = 47
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+# A daemon is bound by an announcement this long after it has passed it on.
+LIMIT_KNOWN_S = 0.5
+# Faults after which a daemon is not bound by what it passed on before.
+FORGETTING = {"term", "kill", "term_then_kill", "pause"}
 # The specification requires that a quarter succeed after RECOVER_S. As nothing
 # is overloaded here, nearly all requests must succeed; the tolerance allows for
 # responses that targets drop.
@@ -43,6 +50,8 @@
         *_requested_runs(observations),
         *_targets_per_attempt(observations),
         *_drained_targets(observations),
+        *_announced_leaving(observations),
+        *_announced_rate_limits(observations),
         *_table_propagation(observations),
         *_planned_disruptions(observations),
         *_retry_budget(observations),
@@ -158,6 +167,76 @@
                 yield Violation("DRAIN", f"{late_s:.2f} s late: {run}")
 
 
+def _may_have_forgotten(
+    observations: observations_lib.Observations,
+    announcement: observations_lib.Announcement,
+    until_s: float,
+) -> bool:
+    """Returns whether the daemon has restarted or paused since then."""
+    return any(
+        d.kind in FORGETTING
+        and d.vm == announcement.vm
+        and d.start_s < until_s
+        and announcement.at_s < d.end_s
+        for d in observations.disruptions
+    ) or any(
+        announcement.at_s < stall < until_s + 0.5
+        for stall in observations.stalls
+    )
+
+
+def _announced_leaving(observations):
+    """Checks that daemons do not use targets that have said that they leave."""
+    attempts = {
+        attempt.attempt_id: attempt for attempt in observations.attempts
+    }
+    for announcement in observations.announcements:
+        if not announcement.leaving:
+            continue
+        for arrival in observations.arrivals:
+            attempt = attempts.get(arrival.attempt_id)
+            if (
+                attempt is not None
+                and arrival.target_id == announcement.target_id
+                and attempt.vm == announcement.vm
+                and attempt.sent_s > announcement.at_s + DRAIN_S
+                and not _may_have_forgotten(
+                    observations, announcement, arrival.at_s
+                )
+            ):
+                yield Violation("DRAIN", f"{arrival} after {announcement}")
+
+
+def _announced_rate_limits(observations):
+    """Checks the requests in each window at targets that announce a limit."""
+    attempt_vms = {a.attempt_id: a.vm for a in observations.attempts}
+    for limit in observations.rate_limits:
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit.limit_per_s
+        arrivals = [
+            (a.at_s, workload.origin_vm(a.attempt_id, attempt_vms))
+            for a in observations.arrivals
+            if a.target_id == limit.target_id
+            and limit.start_s + STABLE_S <= a.at_s < limit.end_s
+        ]
+        for start_s, _ in arrivals:
+            end_s = start_s + LIMIT_WINDOW_S
+            bound_vms = {
+                announcement.vm
+                for announcement in observations.announcements
+                if announcement.limited
+                and announcement.target_id == limit.target_id
+                and announcement.at_s <= start_s - LIMIT_KNOWN_S
+                and not _may_have_forgotten(observations, announcement, end_s)
+            }
+            count = sum(
+                start_s <= at_s < end_s and vm in bound_vms
+                for at_s, vm in arrivals
+            )
+            if count > allowed + LIMIT_SLACK:
+                yield Violation("LIMIT", f"{count} requests, {limit}")
+                break
+
+
 def _table_propagation(observations):
     """Checks by probes of the newest route which table each daemon uses."""
     newest: dict[tuple[int, int], int] = {}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,8 +15,10 @@
 Fault = Callable[["harness_lib.Harness", int, float], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
 # Planned stops, reloads and configuration changes; all others are faults.
-PLANNED = {"term", "hup", "table", "replace_target"}
+PLANNED = {"term", "hup", "table", "replace_target", "limit_target"}
 FLEET_WIDE = {"store", "store_history"}
+# Faults that overlap with others of the same VM.
+OVERLAPPING = {"limit_target"}
 
 
 def register(function: Fault) -> Fault:
@@ -135,7 +137,29 @@
 async def replace_target(harness, vm, duration_s):
     """Drains a target and starts another one at its address."""
     if harness.targets[vm] is not None:
-        await harness.replace_target(vm)
+        await harness.replace_target(vm, listed=duration_s < 2)
+
+
+@register
+async def limit_target(harness, vm, duration_s):
+    """Makes a target announce a rate limit, once or twice."""
+    target = harness.targets[vm]
+    if target is None:
+        return
+    arrivals = harness.observations.arrivals
+    since_s = time.monotonic() - 3
+    recent = sum(
+        a.target_id == target.target_id and a.at_s > since_s for a in arrivals
+    )
+    for factor in (0.5, 0.2) if duration_s > 1.5 else (0.5,):
+        limit = observations_lib.RateLimit(
+            target.target_id, max(1.0, recent / 3 * factor), time.monotonic()
+        )
+        harness.observations.rate_limits.append(limit)
+        target.rate_limit_per_s = limit.limit_per_s
+        await asyncio.sleep(5 + duration_s)
+        limit.end_s = time.monotonic()
+    target.rate_limit_per_s = None
 
 
 @register
@@ -191,14 +215,16 @@
             await FAULTS[name](harness, vm, fault_s)
         finally:
             disruption.end_s = time.monotonic()
-            busy_vms.discard(vm)
+            if name not in OVERLAPPING:
+                busy_vms.discard(vm)
 
     while time.monotonic() < end_s:
         name = rng.choice(sorted(FAULTS))
         vm = rng.randrange(harness.count)
         fault_s = rng.uniform(0.3, 3.0)
-        if vm not in busy_vms:
-            busy_vms.add(vm)
+        if vm not in busy_vms or name in OVERLAPPING:
+            if name not in OVERLAPPING:
+                busy_vms.add(vm)
             task = asyncio.ensure_future(inject(name, vm, fault_s))
             tasks.add(task)
         await asyncio.sleep(rng.expovariate(1 / 0.8))
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -180,9 +180,22 @@
         await asyncio.sleep(1.0)
         await writer.remove_target(self.store, target.target_id)
 
-    async def replace_target(self, vm: int) -> None:
-        """Drains a target and starts another one at its address."""
+    async def replace_target(self, vm: int, listed: bool) -> None:
+        """Drains a target and starts another one at its address.
+
+        Args:
+          vm: VM of the target.
+          listed: Whether its entry says so; otherwise only its responses do.
+        """
         target = self.targets[vm]
+        target.leaving = True
+        if not listed:
+            await asyncio.sleep(DRAIN_S + 1.5)
+            self.targets[vm] = None
+            target.crash()
+            await writer.remove_target(self.store, target.target_id)
+            await self.start_target(vm)
+            return
         await self._put_target(target, records.DRAINING_STATE)
         self.observations.drain_starts.append(
             observations_lib.DrainStart(target.target_id, time.monotonic())
@@ -289,12 +302,12 @@
                 )
                 try:
                     stream.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n")
-                    status, _ = await workload.read_response(reader)
+                    head, _ = await workload.read_response(reader)
                 finally:
                     stream.close()
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return False
-        return status == 200
+        return head["status"] == 200
 
     async def _detect_stalls(self) -> None:
         """Records when this process was not scheduled for a while."""
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -46,6 +46,44 @@
     started_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """One request that has reached a target, whether it runs it or not."""
+
+    attempt_id: str
+    target_id: str
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Announcement:
+    """A response with an announcement that a daemon has passed on.
+
+    Attributes:
+      vm: VM of the daemon at which the request began.
+      target_id: Target that announces.
+      at_s: When the response was complete.
+      limited: Whether it announces a rate limit.
+      leaving: Whether it announces that it leaves.
+    """
+
+    vm: int
+    target_id: str
+    at_s: float
+    limited: bool
+    leaving: bool
+
+
+@dataclasses.dataclass
+class RateLimit:
+    """Time in which a target announces a rate limit."""
+
+    target_id: str
+    limit_per_s: float
+    start_s: float
+    end_s: float = float("inf")
+
+
 @dataclasses.dataclass
 class Disruption:
     """A fault or planned change of one VM, or of the store or the fleet.
@@ -89,6 +127,9 @@
     nested_call_ids: set[str] = dataclasses.field(default_factory=set)
     disruptions: list[Disruption] = dataclasses.field(default_factory=list)
     drain_starts: list[DrainStart] = dataclasses.field(default_factory=list)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    announcements: list[Announcement] = dataclasses.field(default_factory=list)
+    rate_limits: list[RateLimit] = dataclasses.field(default_factory=list)
     tables: list[tuple[float, int]] = dataclasses.field(default_factory=list)
     stalls: list[float] = dataclasses.field(default_factory=list)
     faults_ended_s: float = 0.0
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -158,3 +158,62 @@
         self.assertEqual(
             ["RECOVER"], violated_rules(attempts=attempts, faults_ended_s=40.0)
         )
+
+    def test_a_request_to_a_target_that_has_announced_that_it_leaves(self):
+        announcement = observations_lib.Announcement(
+            0, "i-1-1", 97.0, limited=False, leaving=True
+        )
+        arrival = observations_lib.Arrival("a1", "i-1-1", 100.1)
+        fields = {
+            "attempts": [make_attempt()],
+            "runs": [make_run()],
+            "announcements": [announcement],
+            "arrivals": [arrival],
+        }
+        self.assertEqual(["DRAIN"], violated_rules(**fields))
+        for excused in (
+            {"attempts": [make_attempt(sent_s=98.9)]},
+            {"arrivals": [observations_lib.Arrival("a1", "i-2-1", 100.1)]},
+            {
+                "disruptions": [
+                    observations_lib.Disruption("kill", 0, False, 98.0, 98.5)
+                ]
+            },
+        ):
+            self.assertEqual([], violated_rules(**fields | excused))
+
+    def test_more_requests_than_an_announced_rate_limit(self):
+        # 6 in any 4 s are allowed for each request per second, and 5 more.
+        arrivals = [
+            observations_lib.Arrival(f"a{n}", "i-1-1", 100.0 + n / 10)
+            for n in range(12)
+        ]
+        fields = {
+            "attempts": [make_attempt(f"a{n}") for n in range(12)],
+            "runs": [make_run(f"a{n}") for n in range(12)],
+            "rate_limits": [observations_lib.RateLimit("i-1-1", 1.0, 96.0)],
+            "announcements": [
+                observations_lib.Announcement(
+                    0, "i-1-1", 97.0, limited=True, leaving=False
+                )
+            ],
+            "arrivals": arrivals,
+        }
+        self.assertEqual(["LIMIT"], violated_rules(**fields))
+        for excused in (
+            {"arrivals": arrivals[:11]},
+            {"announcements": []},
+            {"rate_limits": [observations_lib.RateLimit("i-1-1", 1.0, 98.0)]},
+            {
+                "disruptions": [
+                    observations_lib.Disruption("kill", 0, False, 98.0, 98.5)
+                ]
+            },
+        ):
+            self.assertEqual([], violated_rules(**fields | excused))
+
+    def test_nested_calls_begin_at_the_vm_of_the_target_that_makes_them(self):
+        self.assertEqual(2, workload.origin_vm("c0.1-3.i-2-1-7", {}))
+        self.assertEqual(0, workload.origin_vm("c0.1-3", {"c0.1-3": 0}))
+        nested_twice = "c0.1-3.i-2-1-7.i-5-1-2"
+        self.assertEqual(5, workload.origin_vm(nested_twice, {}))
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -17,6 +17,10 @@
 PROBE_KIND = "probe"
 HOST_HEADER = "soak.example"
 NOT_RUN_HEADER = "Mimosahaven-Not-Run: 1\r\n"
+# Responses of targets carry their id, for the observations.
+TARGET_HEADER = "soak-target"
+RATE_LIMIT_HEADER = "mimosahaven-rate-limit"
+LEAVING_HEADER = "mimosahaven-leaving"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,6 +86,8 @@
       truncate_share: Share of responses that are truncated.
       duplicate_share: Share of responses that are sent twice.
       slow_factor: Factor by which runs take longer than usual.
+      rate_limit_per_s: Rate limit that it announces, or None.
+      leaving: Whether it announces that it leaves.
     """
 
     def __init__(
@@ -97,6 +103,8 @@
         self.service = service_of(vm)
         self.drop_share = self.truncate_share = self.duplicate_share = 0.0
         self.slow_factor = 1.0
+        self.rate_limit_per_s: float | None = None
+        self.leaving = False
         self._observations = observations
         self._rng = rng
         self._running = 0
@@ -117,6 +125,11 @@
     async def _serve(self, head, body, writer, number) -> None:
         self._writers.add(writer)
         attempt_id = head["mimosahaven-attempt"]
+        self._observations.arrivals.append(
+            observations_lib.Arrival(
+                attempt_id, self.target_id, time.monotonic()
+            )
+        )
         intended_id = head.get("mimosahaven-target", self.target_id)
         if intended_id != self.target_id:
             await self._respond(writer, attempt_id, 421, b"", NOT_RUN_HEADER)
@@ -178,20 +191,25 @@
                 )
                 try:
                     writer.write(encode_request(kind, call_id, remaining_ms))
-                    status, _ = await read_response(reader)
+                    response_head, _ = await read_response(reader)
                 finally:
                     writer.close()
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return False
-        return status == 200
+        record_announcement(self._observations, self.vm, response_head)
+        return response_head["status"] == 200
 
     async def _respond(
         self, writer, attempt_id, status, body, extra="", truncated=False
     ) -> None:
+        if self.rate_limit_per_s is not None:
+            extra += f"{RATE_LIMIT_HEADER}: {self.rate_limit_per_s:.1f}\r\n"
+        if self.leaving:
+            extra += f"{LEAVING_HEADER}: 1\r\n"
         head = (
             f"HTTP/1.1 {status} X\r\nMimosahaven-Attempt: {attempt_id}\r\n"
             f"Mimosahaven-Signature: s\r\nContent-Length: {len(body)}\r\n"
-            f"{extra}\r\n"
+            f"{TARGET_HEADER}: {self.target_id}\r\n{extra}\r\n"
         )
         writer.write(
             head.encode() + (body[: len(body) // 2] if truncated else body)
@@ -218,15 +236,36 @@
     return head.encode() + b"\r\n" + body
 
 
-async def read_response(reader: asyncio.StreamReader) -> tuple[int, bytes]:
-    """Reads a response and returns its status and body.
+def record_announcement(
+    observations: observations_lib.Observations, vm: int, head: dict
+) -> None:
+    """Records that a daemon has passed on an announcement of a target."""
+    limited, leaving = RATE_LIMIT_HEADER in head, LEAVING_HEADER in head
+    if limited or leaving:
+        observations.announcements.append(
+            observations_lib.Announcement(
+                vm, head[TARGET_HEADER], time.monotonic(), limited, leaving
+            )
+        )
+
+
+def origin_vm(attempt_id: str, attempt_vms: dict[str, int]) -> int | None:
+    """Returns the VM at whose daemon a request or nested call began."""
+    parent_id, separator, call_id = attempt_id.rpartition(".i-")
+    if separator and parent_id:
+        return int(call_id.split("-")[0])
+    return attempt_vms.get(attempt_id)
+
+
+async def read_response(reader: asyncio.StreamReader) -> tuple[dict, bytes]:
+    """Reads a response and returns its head, with the status, and its body.
 
     Raises:
       asyncio.IncompleteReadError: The connection was closed before the end.
       OSError: The connection was reset.
     """
     head = await rawtarget.read_head(reader)
-    status = int(head["line"].split(" ")[1])
+    head["status"] = int(head["line"].split(" ")[1])
     if head.get("transfer-encoding") == "chunked":
         body = b""
         while size := int(await reader.readuntil(b"\r\n"), 16):
@@ -237,7 +276,7 @@
     if head.get("connection", "").lower() == "close":
         # Makes a Caller close its side without waiting for the daemon.
         reader.feed_eof()
-    return status, body
+    return head, body
 
 
 class Caller:
@@ -310,7 +349,9 @@
             )
             observed.sent_s = time.monotonic()
             async with asyncio.timeout(timeout_s):
-                observed.status, body = await read_response(self._reader)
+                head, body = await read_response(self._reader)
+            observed.status = head["status"]
+            record_announcement(self._harness.observations, self._vm, head)
             observed.complete = body == response_body(
                 attempt_id, kind.response_bytes
             )
