Show the epoch of the store and the number of requests to it

The logs could not tell a store that was restored from an older copy from one that has discarded its history. A change of the epoch has a line, with the versions in force; gauges give the epoch and the requests of this daemon to the store. Nothing else changes.

--- a/mimosahaven/mesh/feed.py
+++ b/mimosahaven/mesh/feed.py
@@ -49,7 +49,15 @@
 
 
 class Feed(typing.Protocol):
-    """Client of the platform's store, which returns decoded records."""
+    """Client of the platform's store, which returns decoded records.
+
+    Attributes:
+      epoch: Epoch of the store in its latest response. An epoch begins when the
+        store is restored from an older copy; revisions of different epochs
+        cannot be compared.
+    """
+
+    epoch: int
 
     async def snapshot(self) -> Snapshot:
         """Reads the complete content.
--- a/mimosahaven/mesh/report.py
+++ b/mimosahaven/mesh/report.py
@@ -34,6 +34,8 @@
         "list_revision": replica.directory.revision,
         "targets": len(replica.directory),
         "store_contact_age_ms": age_ms,
+        "store_epoch": daemon.store_watch.epoch,
+        "store_reads": daemon.store_watch.read_count,
         "store_watching": float(daemon.store_watch.has_store),
         "followers": len(daemon.followers),
         "unreachable_peers": len(daemon.balancer.unreachable_hosts()),
--- a/mimosahaven/mesh/storewatch.py
+++ b/mimosahaven/mesh/storewatch.py
@@ -36,6 +36,7 @@
     Attributes:
       bounds: Bounds from which the length of a watch follows.
       contact_ms: Time of the last response, or None.
+      read_count: Number of requests to the store.
       on_contact: Called on each response.
     """
 
@@ -56,6 +57,8 @@
         self._failing = False
         self._watching = False
         self.contact_ms: float | None = None
+        self.read_count = 0
+        self._epoch = 0
         self.on_contact: Callable[[], None] = lambda: None
 
     @property
@@ -72,10 +75,12 @@
                 await asyncio.sleep(WATCH_CHECK_INTERVAL_MS / 1000)
                 continue
             try:
+                self.read_count += 1
                 await self.read()
                 delay_ms = self._settings.retry_ms
             except feed_lib.HistoryGoneError:
                 self._replica.complete = False
+                self._log_epoch()
                 self._log.event(
                     "store history gone", self._replica.describe_versions()
                 )
@@ -167,6 +172,20 @@
             return delay_ms
         return max(delay_ms, selection.domain_size * TAKEOVER_POLL_INTERVAL_MS)
 
+    @property
+    def epoch(self) -> int:
+        """Epoch of the store in its latest response."""
+        return self._feed.epoch
+
+    def _log_epoch(self) -> None:
+        if self._feed.epoch != self._epoch:
+            self._log.event(
+                "store epoch",
+                f"{self._feed.epoch}, was {self._epoch}; "
+                f"{self._replica.describe_versions()}",
+            )
+            self._epoch = self._feed.epoch
+
     def _record_contact(self) -> bool:
         """Records a response of the store.
 
@@ -175,6 +194,7 @@
           have expired during the outage; targets removed later are gone.
         """
         self.contact_ms = clock.monotonic_ms()
+        self._log_epoch()
         self.on_contact()
         if not self._failing:
             return False
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -24,6 +24,7 @@
         self.table = table
         self.targets = targets
         self.down = False
+        self.epoch = 0
         self._pending = asyncio.Queue()
 
     async def snapshot(self):
--- a/tests/mesh/test_storewatch.py
+++ b/tests/mesh/test_storewatch.py
@@ -102,6 +102,8 @@
 class BrokenFeed:
     """A feed whose first calls raise an unexpected error."""
 
+    epoch = 0
+
     def __init__(self, targets):
         self._targets = targets
         self.calls = 0
