--- a/tests/platform/fakestore.py
+++ b/tests/platform/fakestore.py
@@ -24,16 +24,22 @@
 class FakeStore:
     """Serves items and their changes; can discard its history.
 
+    It can also be restored from an older copy of its items: what was written
+    since is lost, revisions are given out again, and a watch from a revision
+    that it does not have gets 410.
+
     Attributes:
       fault: Fault injected into requests while it is set.
       delay_s: Delay of each response.
       request_count: Number of requests received, including failed ones.
+      epoch: Number of restores, from 1; each response has it in a header.
     """
 
     def __init__(self):
         self.fault = Fault.NONE
         self.delay_s = 0.004
         self.request_count = 0
+        self.epoch = 1
         self._items: dict[str, dict] = {}
         self._events: list[dict] = []
         self._revision = 1
@@ -46,6 +52,7 @@
         app = web.Application()
         app.router.add_get("/api/kv-range", self._handle_range)
         app.router.add_get("/api/kv-watch", self._handle_watch)
+        app.on_response_prepare.append(self._add_epoch)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port).start()
@@ -75,6 +82,24 @@
         self._oldest = self._revision
         self._events.clear()
 
+    def copy(self) -> tuple[int, dict[str, dict]]:
+        """Returns a copy of the items, with its revision, for restore()."""
+        return self._revision, dict(self._items)
+
+    async def restore(self, copy: tuple[int, dict[str, dict]]) -> None:
+        """Goes back to an earlier copy; begins a new epoch."""
+        self.epoch += 1
+        self._revision, items = copy
+        self._items = dict(items)
+        self._events = [e for e in self._events if e["rev"] <= self._revision]
+        async with self._condition:
+            self._condition.notify_all()
+
+    async def _add_epoch(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers["Store-Era"] = str(self.epoch)
+
     async def _record_event(self, event: dict) -> int:
         self._events.append(event)
         async with self._condition:
@@ -104,14 +129,19 @@
     async def _handle_watch(self, request: web.Request) -> web.Response:
         await self._inject_fault(request)
         after = int(request.query["after"])
-        if after < self._oldest:
+        if not self._oldest <= after <= self._revision:
             raise web.HTTPGone
         wait_s = int(request.query["wait_ms"]) / 1000
+        epoch = self.epoch
         try:
             async with asyncio.timeout(wait_s), self._condition:
-                await self._condition.wait_for(lambda: self._revision > after)
+                await self._condition.wait_for(
+                    lambda: self._revision > after or self.epoch != epoch
+                )
         except TimeoutError:
             pass
+        if self.epoch != epoch:
+            raise web.HTTPGone
         while self.fault is Fault.SILENT:  # noqa: ASYNC110
             await asyncio.sleep(0.1)
         if self.fault is not Fault.NONE:
