Retrieve the exceptions of the test target's readers

Cause, from the traceback and the captured log: hypothesis parses a source file; the garbage collector runs meanwhile and collects a task of the test target that ended with ConnectionResetError; asyncio logs an exception that was never retrieved, and formatting its traceback parses source code again, which breaks the count of the interrupted parser (CPython 3.11). The order of the tests decides whether it happens.

Change: the test target retrieves the exception.

--- a/tests/mesh/rawtarget.py
+++ b/tests/mesh/rawtarget.py
@@ -48,6 +48,7 @@
                     self._handler(head, body, writer, len(self.requests))
                 )
                 client_data = asyncio.ensure_future(reader.read(1))
+                client_data.add_done_callback(retrieve_exception)
                 await asyncio.wait(
                     {handler_task, client_data},
                     return_when=asyncio.FIRST_COMPLETED,
@@ -65,6 +66,17 @@
             writer.close()
 
 
+def retrieve_exception(task):
+    """Prevents asyncio from logging the exception of a task.
+
+    It would log when the task is collected. Formatting the exception parses
+    source code, which in CPython 3.11 breaks a parser that the collection has
+    interrupted ("AST constructor recursion depth mismatch").
+    """
+    if not task.cancelled():
+        task.exception()
+
+
 async def read_head(reader):
     lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
     head = {"line": lines[0], "path": lines[0].split(" ")[1]}
