Keep the order of changes when the store is restored from a copy

Cause: replicas order lists by the store's revision, which a restore takes back. A list at a lower revision was refused as older, the next watch asked from a revision that the store did not have, and this went on without a pause until the revisions had caught up; what had happened up to there was never seen. Where they had caught up before the first request, there was not even a 410. Class of fault: an order taken from a counter that another party may set back.

Change: a revision consists of the store's epoch and its number. In the list of a new epoch, the entry that its target wrote later stays (start time and count, which a restore does not touch); what the copy lacks is kept for the usual grace period; what was removed before the restore is used once its target has written it again, or after four heartbeats, when the platform would have removed it. A store that loses its history twice in a row is asked with the usual delay.

Why it works: no comparison depends on a counter that can go back, and what the copy says of a target is weighed by the target's own count.

--- a/mimosahaven/mesh/directory.py
+++ b/mimosahaven/mesh/directory.py
@@ -1,6 +1,7 @@
 """Local replica of the list of targets in the mesh."""
 
 import collections
+import typing
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -13,25 +14,69 @@
 # Bounds the memory of targets that leave; the oldest ones are forgotten first,
 # long after they have gone.
 LEAVING_MAX = 4_096
+# Bounds the memory of removed targets in the same way.
+REMOVED_MAX = 4_096
+# The platform removes an entry that has not been renewed for this many
+# heartbeats of its target; one more is left for the removal to arrive.
+OUTDATED_HEARTBEATS = 4
+
+
+class _RemovedEntry(typing.NamedTuple):
+    """An entry that was removed.
+
+    Attributes:
+      written_order: Order of the entry among those that its target has written.
+      epoch: Epoch of the store in which it was removed.
+    """
+
+    written_order: tuple[int, int]
+    epoch: int
+
+
+class _OutdatedEntry(typing.NamedTuple):
+    """An entry that a restore has brought back.
+
+    Attributes:
+      target: The entry.
+      until_ms: Time until which it is not used.
+    """
+
+    target: records.Target
+    until_ms: float
 
 
 class TargetDirectory:
     """A replica of the platform's list of targets.
 
-    An entry that is missing from the store after an outage is lapsing: its
-    target may be live, so it is kept for LAPSE_GRACE_MS.
+    An entry that is missing from the store after an outage, or after the store
+    was restored from an older copy, is lapsing: its target may be live, so it
+    is kept for LAPSE_GRACE_MS.
+
+    A restored store also lists entries as they were at the time of the copy.
+    An older entry than the known one is ignored; what a target has written
+    tells which one is older, not the revision. An entry that was removed before
+    the restore is outdated: it is used only once its target has written it
+    again, or has been renewing it for longer than an entry lasts without that.
 
     A target that has announced that it leaves does not serve again before it is
     started anew, whatever its entry says.
 
+    Args:
+      heartbeat_ms: Interval at which targets renew their entries.
+
     Attributes:
       revision: Store revision up to which the replica is complete.
     """
 
-    def __init__(self):
+    def __init__(self, heartbeat_ms: float = 1_500.0):
+        self._outdated_ms = OUTDATED_HEARTBEATS * heartbeat_ms
         self.revision = 0
         self._targets: dict[str, records.Target] = {}
         self._lapsing: dict[str, float] = {}
+        self._outdated: dict[str, _OutdatedEntry] = {}
+        self._removed: collections.OrderedDict[str, _RemovedEntry] = (
+            collections.OrderedDict()
+        )
         self._leaving: collections.OrderedDict[records.Incarnation, None] = (
             collections.OrderedDict()
         )
@@ -46,6 +91,12 @@
         """All known targets."""
         return tuple(self._targets.values())
 
+    @property
+    def listed(self) -> list[records.Target]:
+        """All entries, including outdated ones, for other replicas."""
+        outdated = [entry.target for entry in self._outdated.values()]
+        return [*self._targets.values(), *outdated]
+
     def replace(
         self,
         targets: Iterable[records.Target],
@@ -67,25 +118,70 @@
         """
         if revision < self.revision:
             return False
-        new = {target.target_id: target for target in targets}
+        epoch = records.epoch_of(revision)
+        was_restored = epoch > records.epoch_of(self.revision)
+        new: dict[str, records.Target] = {}
+        outdated: dict[str, _OutdatedEntry] = {}
+        for target in targets:
+            if self._is_removed_before(target, epoch):
+                outdated[target.target_id] = self._outdated.get(
+                    target.target_id,
+                    _OutdatedEntry(target, now_ms + self._outdated_ms),
+                )
+            else:
+                new[target.target_id] = self._latest(target, epoch)
         # A listed entry is no longer lapsing, even if an earlier list lacked
         # it.
         lapsing: dict[str, float] = {}
-        if after_outage:
-            for target_id in self._targets:
-                if target_id not in new:
-                    lapsing[target_id] = self._lapsing.get(
-                        target_id, now_ms + LAPSE_GRACE_MS
-                    )
-            new |= {
-                lapsing_id: self._targets[lapsing_id] for lapsing_id in lapsing
-            }
+        for target_id, target in self._targets.items():
+            if target_id in new or target_id in outdated:
+                continue
+            if after_outage or was_restored:
+                new[target_id] = target
+                lapsing[target_id] = self._lapsing.get(
+                    target_id, now_ms + LAPSE_GRACE_MS
+                )
+            else:
+                self._record_removal(target)
         self._targets = new
         self._lapsing = lapsing
+        self._outdated = outdated
         self.revision = revision
         self._clear_indexes()
         return True
 
+    def _latest(self, target: records.Target, epoch: int) -> records.Target:
+        """Returns the known entry instead of one that a restore brought back.
+
+        Args:
+          target: Entry of a list.
+          epoch: Epoch of the list.
+        """
+        known = self._targets.get(target.target_id)
+        if known is None or records.epoch_of(known.revision) == epoch:
+            return target
+        if known.written_order >= target.written_order:
+            return known
+        return target
+
+    def _is_removed_before(self, target: records.Target, epoch: int) -> bool:
+        """Returns whether an entry was removed in an earlier epoch."""
+        removed = self._removed.get(target.target_id)
+        return (
+            target.target_id not in self._targets
+            and removed is not None
+            and removed.epoch < epoch
+            and target.written_order <= removed.written_order
+        )
+
+    def _record_removal(self, target: records.Target) -> None:
+        self._removed[target.target_id] = _RemovedEntry(
+            target.written_order, records.epoch_of(self.revision)
+        )
+        self._removed.move_to_end(target.target_id)
+        if len(self._removed) > REMOVED_MAX:
+            self._removed.popitem(last=False)
+
     def replace_from_peer(
         self,
         targets: Iterable[records.Target],
@@ -124,9 +220,10 @@
         return target.revision if target else 0
 
     def put(self, target: records.Target) -> None:
-        """Adds or replaces an entry; it is then no longer lapsing."""
+        """Adds or replaces an entry that its target has just written."""
         self._targets[target.target_id] = target
         self._lapsing.pop(target.target_id, None)
+        self._outdated.pop(target.target_id, None)
         self._clear_indexes()
 
     def remove(
@@ -137,6 +234,7 @@
         Returns:
           The removed entry, or None if it is unknown or lapsing.
         """
+        self._outdated.pop(target_id, None)
         if target_id not in self._targets:
             return None
         if after_outage:
@@ -144,7 +242,24 @@
             return None
         self._lapsing.pop(target_id, None)
         self._clear_indexes()
-        return self._targets.pop(target_id)
+        target = self._targets.pop(target_id)
+        self._record_removal(target)
+        return target
+
+    def restore_renewed(self, now_ms: float) -> list[records.Target]:
+        """Uses the outdated entries that have outlasted their targets' silence.
+
+        Returns:
+          The entries used from now on.
+        """
+        renewed = [
+            entry.target
+            for entry in self._outdated.values()
+            if entry.until_ms <= now_ms
+        ]
+        for target in renewed:
+            self.put(target)
+        return renewed
 
     def expire(self, now_ms: float) -> list[records.Target]:
         """Removes and returns the entries whose grace period is over."""
@@ -159,7 +274,10 @@
             del self._lapsing[target_id]
         if due:
             self._clear_indexes()
-        return [self._targets.pop(target_id) for target_id in due]
+        expired = [self._targets.pop(target_id) for target_id in due]
+        for target in expired:
+            self._record_removal(target)
+        return expired
 
     def serving(self, service: str) -> tuple[records.Target, ...]:
         """Returns the targets of a service that accept new work.
--- a/mimosahaven/mesh/feed.py
+++ b/mimosahaven/mesh/feed.py
@@ -11,7 +11,11 @@
 
 
 class HistoryGoneError(FeedError):
-    """The store no longer has the changes after a revision."""
+    """The store no longer has the changes after a revision.
+
+    It has discarded them, or was restored from an older copy, so that the
+    revision is not one of its present epoch.
+    """
 
 
 class Snapshot(typing.NamedTuple):
--- a/mimosahaven/mesh/records.py
+++ b/mimosahaven/mesh/records.py
@@ -8,6 +8,39 @@
 DRAINING_STATE = "draining"
 # ID of a target and the time of its start, in Unix milliseconds.
 Incarnation = tuple[str, int]
+# A revision is an integer of 63 bits: the low ones hold its number in the
+# store, those above them the epoch.
+_REVISION_NUMBER_BITS = 40
+REVISION_NUMBER_MAX = (1 << _REVISION_NUMBER_BITS) - 1
+EPOCH_MAX = (1 << 63 - _REVISION_NUMBER_BITS) - 1
+
+
+def revision(epoch: int, number: int) -> int:
+    """Returns a revision that is higher than all those of earlier epochs.
+
+    The store counts its revisions anew when it is restored from an older copy.
+    Such a restore begins a new epoch.
+
+    Args:
+      epoch: Number of the store's epoch, up to EPOCH_MAX.
+      number: Revision as given by the store, up to REVISION_NUMBER_MAX.
+    """
+    return epoch << _REVISION_NUMBER_BITS | number
+
+
+def epoch_of(revision_: int) -> int:
+    """Returns the epoch of a revision."""
+    return revision_ >> _REVISION_NUMBER_BITS
+
+
+def number_of(revision_: int) -> int:
+    """Returns a revision as the store gives it."""
+    return revision_ & REVISION_NUMBER_MAX
+
+
+def describe_revision(revision_: int) -> str:
+    """Returns a revision as text: the epoch, a dot and the number."""
+    return f"{epoch_of(revision_)}.{number_of(revision_)}"
 
 
 class RepeatRule(enum.Enum):
@@ -97,6 +130,7 @@
       revision: Store revision that wrote the entry.
       started_unix_ms: When this incarnation started. A target may start again
         under the ID that it had.
+      sequence: The target's own count of its writes, from its start.
     """
 
     target_id: str
@@ -109,6 +143,15 @@
     cold_ms: float = 0.0
     revision: int = 0
     started_unix_ms: int = 0
+    sequence: int = 0
+
+    @property
+    def written_order(self) -> tuple[int, int]:
+        """Order in which a target has written its entries.
+
+        Unlike revisions, it is kept when the store is restored.
+        """
+        return self.started_unix_ms, self.sequence
 
     @property
     def incarnation(self) -> Incarnation:
--- a/mimosahaven/mesh/replica.py
+++ b/mimosahaven/mesh/replica.py
@@ -43,7 +43,9 @@
         self._peers = peers
         self._log = log
         self.index: routing.RouteIndex | None = None
-        self.directory = directory_lib.TargetDirectory()
+        self.directory = directory_lib.TargetDirectory(
+            settings.bounds.heartbeat_s * 1000
+        )
         self.watcher_selection = watcherselection.WatcherSelection(
             settings.target.host, settings.failure_domain
         )
@@ -87,7 +89,7 @@
             table = self.index.table
         targets = None
         if self.directory.revision > request.list_revision:
-            targets = list(self.directory.targets)
+            targets = self.directory.listed
         return frames.State(
             table,
             targets,
@@ -150,6 +152,9 @@
         for target in self.directory.expire(now_ms):
             self._log.event("target gone", target.target_id)
             self._notify_change()
+        for target in self.directory.restore_renewed(now_ms):
+            self._log.event("target renewed", target.target_id)
+            self._notify_change()
         if not self._newer_peer_host or self._fetching:
             return
         if (
@@ -246,7 +251,7 @@
         if self.directory.replace(
             snapshot.targets, snapshot.revision, now_ms, after_outage
         ):
-            targets = list(self.directory.targets)
+            targets = self.directory.listed
             self._log.event(
                 "list in force", f"{self.describe_versions()} from store"
             )
@@ -313,7 +318,8 @@
         self._log.event(
             "target changed",
             f"{target.target_id} {target.service} {target.state} "
-            f"at {target.host}, revision {target.revision}",
+            f"at {target.host}, "
+            f"revision {records.describe_revision(target.revision)}",
         )
 
     def _remove_target(
@@ -342,6 +348,7 @@
     def describe_versions(self) -> str:
         """Returns the versions in force as text for the log."""
         return (
-            f"table {self.table_version}, list {self.directory.revision}, "
+            f"table {self.table_version}, "
+            f"list {records.describe_revision(self.directory.revision)}, "
             f"{len(self.directory)} targets"
         )
--- a/mimosahaven/mesh/settings.py
+++ b/mimosahaven/mesh/settings.py
@@ -88,6 +88,7 @@
       grace_s: Time from SIGTERM to SIGKILL.
       apply_s: Time within which a change of the routes must be in force.
       stable_s: Time after a disturbance from which on the bounds hold again.
+      heartbeat_s: Interval at which targets renew their entries in the list.
       resend_ratio: Retries allowed per request of a service, over all daemons.
       resend_window_s: Window over which the ratio is computed.
       resend_slack: Retries allowed in addition to the ratio, over all daemons.
@@ -96,6 +97,7 @@
     grace_s: PositiveS = 6.0
     apply_s: PositiveS = 2.0
     stable_s: PositiveS = 3.0
+    heartbeat_s: PositiveS = 1.5
     resend_ratio: Ratio = 0.2
     resend_window_s: PositiveS = 10.0
     resend_slack: NotNegative = 40.0
--- a/mimosahaven/mesh/storewatch.py
+++ b/mimosahaven/mesh/storewatch.py
@@ -69,6 +69,7 @@
     async def run(self) -> None:
         """Watches the store while this daemon has to; never ends on errors."""
         delay_ms = self._settings.retry_ms
+        history_gone = False
         while True:
             if not self._should_watch():
                 self._record_following()
@@ -76,14 +77,23 @@
                 continue
             try:
                 self.read_count += 1
+                was_complete = self._replica.complete
                 await self.read()
                 delay_ms = self._settings.retry_ms
-            except feed_lib.HistoryGoneError:
+                if was_complete:
+                    history_gone = False
+            except feed_lib.HistoryGoneError as error:
                 self._replica.complete = False
                 self._log_epoch()
                 self._log.event(
-                    "store history gone", self._replica.describe_versions()
+                    "store history gone",
+                    f"{error}; {self._replica.describe_versions()}",
                 )
+                if history_gone:
+                    # The snapshot did not help; the store is not read in a
+                    # loop without a pause.
+                    delay_ms = await self._wait_for_retry(delay_ms)
+                history_gone = True
             except feed_lib.FeedError as error:
                 self.record_failure(error)
                 delay_ms = await self._wait_for_retry(delay_ms)
--- a/tests/mesh/test_replica.py
+++ b/tests/mesh/test_replica.py
@@ -5,6 +5,7 @@
 from mimosahaven.mesh import directory
 from mimosahaven.mesh import feed as feed_lib
 from mimosahaven.mesh import frames
+from mimosahaven.mesh import records
 from mimosahaven.mesh import replica as replica_lib
 from mimosahaven.mesh import settings as settings_lib
 from tests.mesh import samples
@@ -44,6 +45,12 @@
     return replica_lib.Replica(settings, peers or FakePeers(), NullLog())
 
 
+def decode(frame):
+    """Returns a frame as its receiver decodes it."""
+    [decoded] = frames.FrameDecoder().feed(frames.encode(frame))
+    return decoded
+
+
 def add_targets(replica, count):
     targets = [
         samples.target(f"i-{i}", f"10.0.{i // 200}.{i % 200}")
@@ -181,3 +188,59 @@
         asyncio.run(scenario())
         self.assertEqual(["10.0.0.9"], peers.fetched_hosts)
         self.assertEqual(9, self.replica.directory.revision)
+
+
+class RestoredStoreTest(testtools.TestCase):
+    """Guards against CONFIG: a follower misses what a restore has brought."""
+
+    def setUp(self):
+        super().setUp()
+        self.watcher, self.follower = make_replica(), make_replica()
+        self.watcher.publish = lambda frame: self.follower.on_source_frame(
+            "10.0.0.9", decode(frame), 0.0
+        )
+        self.apply(1, 20, ["i-0", "i-1"])
+
+    def apply(self, epoch, number, target_ids):
+        targets = [
+            samples.target(
+                target_id,
+                f"10.0.0.{target_id[2:]}",
+                revision=records.revision(epoch, 5),
+                started_unix_ms=5,
+                sequence=1,
+            )
+            for target_id in target_ids
+        ]
+        self.watcher.apply_snapshot(
+            feed_lib.Snapshot(records.revision(epoch, number), None, targets),
+            False,
+        )
+
+    def ids(self, replica):
+        return {target.target_id for target in replica.directory.targets}
+
+    def test_followers_apply_the_list_of_the_new_epoch(self):
+        self.apply(2, 17, ["i-0", "i-1", "i-2"])
+        self.assertEqual({"i-0", "i-1", "i-2"}, self.ids(self.follower))
+        self.assertEqual(
+            records.revision(2, 17), self.follower.directory.revision
+        )
+
+    def test_followers_keep_what_the_copy_lacks(self):
+        self.apply(2, 17, ["i-0"])
+        self.assertEqual({"i-0", "i-1"}, self.ids(self.follower))
+
+    def test_followers_do_not_use_what_they_know_as_removed(self):
+        self.watcher.apply_changes(
+            feed_lib.Changes(records.revision(1, 21), None, [], ["i-1"]), False
+        )
+        self.apply(2, 17, ["i-0", "i-1"])
+        for replica in (self.watcher, self.follower):
+            self.assertEqual({"i-0"}, self.ids(replica))
+
+    def test_a_list_of_an_earlier_epoch_is_refused(self):
+        self.apply(2, 17, ["i-0", "i-1"])
+        late = frames.State(None, [], records.revision(1, 30), {})
+        self.follower.on_source_frame("10.0.0.8", late, 0.0)
+        self.assertEqual({"i-0", "i-1"}, self.ids(self.follower))
--- a/tests/mesh/test_storewatch.py
+++ b/tests/mesh/test_storewatch.py
@@ -133,3 +133,41 @@
             self.assertEqual(5, replica.directory.revision)
 
         asyncio.run(scenario())
+
+
+class ForgetfulFeed:
+    """A feed that never has the changes after any revision."""
+
+    epoch = 0
+
+    def __init__(self, targets):
+        self._targets = targets
+        self.calls = 0
+
+    async def snapshot(self):
+        await self._respond()
+        return feed_lib.Snapshot(5, None, self._targets)
+
+    async def changes(self, after, wait_ms):
+        await self._respond()
+        raise feed_lib.HistoryGoneError("gone")
+
+    async def _respond(self):
+        self.calls += 1
+        await asyncio.sleep(0.001)
+
+
+class HistoryGoneTest(testtools.TestCase):
+    def test_a_store_without_history_is_not_read_in_a_loop(self):
+        # Seen with a restored store: 130 requests per second and watcher.
+        async def scenario():
+            watch, replica = make_watch(3)
+            watch._feed = ForgetfulFeed(list(replica.directory.targets))
+            task = asyncio.ensure_future(watch.run())
+            await asyncio.sleep(1.0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return watch._feed.calls
+
+        # Twice at once, then a watch and a snapshot after each retry delay.
+        self.assertTrue(asyncio.run(scenario()) < 20)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 from mimosahaven_platform import store
 
 from mimosahaven.mesh import feed
+from mimosahaven.mesh import records
 from mimosahaven.mesh import settings as settings_lib
 from tests.mesh import rawtarget
 from tests.platform import test_decoding
@@ -27,7 +28,8 @@
         """Returns the result of a call to the client.
 
         Args:
-          responses: Responses as (status, body); None resets the connection.
+          responses: Responses as (status, body) or (status, body, epoch); None
+            resets the connection.
           call: Called with the client.
         """
         self.queries = []
@@ -39,12 +41,13 @@
             if response is None:
                 writer.transport.abort()
                 return
-            status, value = response
+            status, value, *epoch = response
+            head = b"".join(b"Store-Era: %b\r\n" % e.encode() for e in epoch)
             data = value if isinstance(value, bytes) else json.dumps(value)
             data = data if isinstance(data, bytes) else data.encode()
             writer.write(
-                b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b"
-                % (status, len(data), data)
+                b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b"
+                % (status, len(data), head, data)
             )
 
         async def scenario():
@@ -118,6 +121,64 @@
             lambda client: client.changes(4, 100.0),
         )
 
+    def test_revisions_include_the_epoch(self):
+        page = {"items": [item("servers/i-1", ENTRY, 5)], "store_revision": 7}
+        events = {
+            "events": [item("servers/i-2", ENTRY, 8)],
+            "store_revision": 9,
+        }
+
+        async def read_both(client):
+            snapshot = await client.snapshot()
+            return snapshot, await client.changes(snapshot.revision, 100.0)
+
+        snapshot, changes = self.run_call(
+            [(200, page, "3"), (200, events, "3")], read_both
+        )
+        self.assertEqual(records.revision(3, 7), snapshot.revision)
+        [target] = snapshot.targets
+        self.assertEqual(records.revision(3, 5), target.revision)
+        self.assertEqual("prefix=&after=7&wait_ms=100", self.queries[1][1])
+        self.assertEqual(records.revision(3, 9), changes.revision)
+
+    def test_changes_of_a_restored_store_require_a_snapshot(self):
+        # The store has given out revision 4 again, so that it knows it.
+        response = (200, {"events": [], "store_revision": 9}, "2")
+        self.assertRaises(
+            feed.HistoryGoneError,
+            self.run_call,
+            [response],
+            lambda client: client.changes(records.revision(1, 4), 100.0),
+        )
+
+    def test_a_restore_between_two_pages_is_a_failure(self):
+        page = {
+            "items": [item("servers/i-1", ENTRY, 5)],
+            "store_revision": 7,
+            "has_more": True,
+        }
+        self.assertRaises(
+            feed.FeedError,
+            self.run_call,
+            [(200, page, "1"), (200, page | {"has_more": False}, "2")],
+            lambda client: client.snapshot(),
+        )
+
+    def test_invalid_epochs_and_revisions_are_failures(self):
+        page = {"items": [], "store_revision": 1}
+        responses = [
+            (200, page, epoch) for epoch in ("", "x", "-1", "9" * 9, "9" * 5000)
+        ]
+        responses.append((200, {"items": [], "store_revision": 1 << 40}, "1"))
+        responses.append((200, {"items": [], "store_revision": -1}, "1"))
+        for response in responses:
+            self.assertRaises(
+                feed.FeedError,
+                self.run_call,
+                [response],
+                lambda client: client.snapshot(),
+            )
+
     def test_other_failures_raise_feed_errors(self):
         # The body of an error response may decode as a valid page.
         page = {"items": [], "store_revision": 1}
