Test admission control by the load that a rate limit brings

Two mechanisms of had no test that failed without them: the wait for the next turn, which is no overload, and the concurrency that is reported to the load balancers.

--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -114,6 +114,66 @@
         self.assertEqual(0.0, self.admission.mean_ms)
 
 
+class RateLimitTest(testtools.TestCase):
+    """A target that announces how many requests per second it accepts."""
+
+    def setUp(self):
+        super().setUp()
+        self.admission = admission_lib.AdmissionController(100, 0.0)
+        for _ in range(200):
+            self.admission.offer(make_request(5), 0.0)
+            self.admission.finish(100.0, 0.0)
+        self.admission.set_rate_limit(20.0, 0.0)
+
+    def play(self, interval_ms, end_ms):
+        """Offers requests of 100 ms at an interval; returns how many start."""
+        started, now_ms, running = 0, 0.0, []
+        next_offer_ms = 0.0
+        while now_ms < end_ms:
+            now_ms += 1.0
+            decisions = [self.admission.tick(now_ms)]
+            if now_ms >= next_offer_ms:
+                next_offer_ms += interval_ms
+                request = make_request(5, now_ms + 5_000, now_ms)
+                decisions.append(self.admission.offer(request, now_ms))
+            while running and running[0] <= now_ms:
+                running.pop(0)
+                decisions.append(self.admission.finish(100.0, now_ms))
+            for decision in decisions:
+                started += len(decision.run)
+                running += [now_ms + 100.0] * len(decision.run)
+        return started
+
+    def test_runs_start_at_the_announced_rate(self):
+        started = self.play(interval_ms=10.0, end_ms=5_000.0)
+        self.assertThat(started, matchers.GreaterThan(95))
+        self.assertThat(started, matchers.LessThan(5 * 20 + 20 // 2 + 2))
+        self.assertThat(self.admission.threshold, matchers.GreaterThan(0))
+
+    def test_a_wait_for_the_next_turn_is_no_overload(self):
+        # 18 requests per second, which come 60 and 50 ms apart in turn, fit.
+        self.play(interval_ms=1000 / 18, end_ms=5_000.0)
+        self.assertEqual(0, self.admission.threshold)
+
+    def test_reported_concurrency_follows_from_the_rate(self):
+        # 20 runs per second of 100 ms each occupy two slots.
+        self.assertEqual(2, self.admission.usable_limit)
+        self.assertEqual(95, self.admission.limit)
+        self.admission.set_rate_limit(None, 0.0)
+        self.assertEqual(95, self.admission.usable_limit)
+
+    def test_reported_run_time_is_that_of_a_slower_turn(self):
+        # One run every 2 s: load balancing must not count on 100 ms.
+        self.admission.set_rate_limit(0.5, 0.0)
+        self.assertEqual(1, self.admission.usable_limit)
+        self.assertEqual(2_000.0, self.admission.mean_ms)
+
+    def test_the_next_turn_is_known(self):
+        self.assertIsNone(self.admission.next_dispatch_ms(0.0))
+        self.admission.offer(make_request(5), 0.0)
+        self.assertEqual(50.0, self.admission.next_dispatch_ms(0.0))
+
+
 class RecoveryTest(testtools.TestCase):
     """A slow target recovers, as in incident inc-20d6.
 
