Let the soak restore the store from older copies

The fake store is copied twice a second; a fault makes it unavailable for a while and restores it from a copy of 2 to 8 s ago, once or twice, after which operators and targets write again what was lost. Entries have the start time and the count of their targets. It overlaps with the other faults of daemons, targets and store.

Announced rate limits are now recorded by the target itself: two overlapping faults on one target left a limit recorded that it no longer announced.

--- a/tests/platform/fakestore.py
+++ b/tests/platform/fakestore.py
@@ -21,6 +21,10 @@
     RESET = "reset"
 
 
+# A revision and the items at it.
+Copy = tuple[int, dict[str, dict]]
+
+
 class FakeStore:
     """Serves items and their changes; can discard its history.
 
@@ -82,11 +86,11 @@
         self._oldest = self._revision
         self._events.clear()
 
-    def copy(self) -> tuple[int, dict[str, dict]]:
+    def copy(self) -> Copy:
         """Returns a copy of the items, with its revision, for restore()."""
         return self._revision, dict(self._items)
 
-    async def restore(self, copy: tuple[int, dict[str, dict]]) -> None:
+    async def restore(self, copy: Copy) -> None:
         """Goes back to an earlier copy; begins a new epoch."""
         self.epoch += 1
         self._revision, items = copy
--- a/tests/platform/writer.py
+++ b/tests/platform/writer.py
@@ -84,8 +84,8 @@
             "slots": target.slots,
             "state": _STATES[target.state],
             "cold_left_s": target.cold_ms / 1000,
-            "seq": 1,
-            "born": 1_700_000_000_000,
+            "seq": target.sequence or 1,
+            "born": target.started_unix_ms or 1_700_000_000_000,
         },
     )
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,7 +16,12 @@
 FAULTS: dict[str, Fault] = {}
 # Planned stops, reloads and configuration changes; all others are faults.
 PLANNED = {"term", "hup", "table", "replace_target", "limit_target"}
-FLEET_WIDE = {"store", "store_history"}
+FLEET_WIDE = {"store", "store_history", "store_restored"}
+OUTAGES = (
+    fakestore.Fault.BUSY,
+    fakestore.Fault.SILENT,
+    fakestore.Fault.RESET,
+)
 # Faults that overlap with others of the same VM.
 OVERLAPPING = {"limit_target"}
 
@@ -105,13 +110,7 @@
 @register
 async def store(harness, vm, duration_s):
     """Makes the store busy, silent, or reset its connections."""
-    harness.store.fault = harness.rng.choice(
-        (
-            fakestore.Fault.BUSY,
-            fakestore.Fault.SILENT,
-            fakestore.Fault.RESET,
-        )
-    )
+    harness.store.fault = harness.rng.choice(OUTAGES)
     try:
         await asyncio.sleep(duration_s)
     finally:
@@ -124,6 +123,22 @@
     harness.store.forget_history()
 
 
+@register
+async def store_restored(harness, vm, duration_s):
+    """Restores the store from a copy that is some seconds old, after an outage.
+
+    Now and then this happens twice.
+    """
+    for _ in range(2 if duration_s > 2.4 else 1):
+        harness.store.fault = harness.rng.choice(OUTAGES)
+        try:
+            await asyncio.sleep(duration_s / 3)
+            await harness.restore_store(age_s=2 + 2 * duration_s)
+        finally:
+            harness.store.fault = fakestore.Fault.NONE
+        await harness.write_again()
+
+
 @register
 async def table(harness, vm, duration_s):
     """Changes the operator configuration once or twice."""
@@ -152,14 +167,9 @@
         a.target_id == target.target_id and a.at_s > since_s for a in arrivals
     )
     for factor in (0.5, 0.2) if duration_s > 1.5 else (0.5,):
-        limit = observations_lib.RateLimit(
-            target.target_id, max(1.0, recent / 3 * factor), time.monotonic()
-        )
-        harness.observations.rate_limits.append(limit)
-        target.rate_limit_per_s = limit.limit_per_s
+        target.announce_rate_limit(max(1.0, recent / 3 * factor))
         await asyncio.sleep(5 + duration_s)
-        limit.end_s = time.monotonic()
-    target.rate_limit_per_s = None
+    target.announce_rate_limit(None)
 
 
 @register
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -1,6 +1,7 @@
 """Processes of a soak: real daemons, with a fake store, targets and callers."""
 
 import asyncio
+import collections
 import itertools
 import json
 import os
@@ -27,6 +28,8 @@
 # The platform restarts an exited process after a short delay.
 RESTART_DELAY_S = 0.3
 STALL_THRESHOLD_S = 0.25
+COPY_INTERVAL_S = 0.5
+COPIES_MAX = 40
 # Soaks of the same process use separate addresses.
 _network_numbers = itertools.count(1)
 
@@ -65,6 +68,12 @@
         self._ready = [False] * count
         self._target_numbers = [0] * count
         self._version = 0
+        self._table: records.RouteTable | None = None
+        # Copies of the store, each with the time at which it was made.
+        self._copies: collections.deque[tuple[float, fakestore.Copy]] = (
+            collections.deque(maxlen=COPIES_MAX)
+        )
+        self._written_states: dict[str, str] = {}
         self._tasks: list[asyncio.Task] = []
 
     @property
@@ -103,6 +112,7 @@
             self._spawn(self._restart_on_exit(vm))
             self._spawn(self._poll_readiness(vm))
         self._spawn(self._detect_stalls())
+        self._spawn(self._copy_store())
 
         async def all_ready():
             return all(self._ready)
@@ -143,6 +153,34 @@
     def _spawn(self, coroutine) -> None:
         self._tasks.append(asyncio.ensure_future(coroutine))
 
+    # Store.
+
+    async def _copy_store(self) -> None:
+        """Makes the copies from which the store is restored."""
+        while not self.stopping:
+            self._copies.append((time.monotonic(), self.store.copy()))
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    async def restore_store(self, age_s: float) -> None:
+        """Restores the store from the oldest copy of at most an age."""
+        since_s = time.monotonic() - age_s
+        while len(self._copies) > 1 and self._copies[0][0] < since_s:
+            self._copies.popleft()
+        _, copy = self._copies[0]
+        await self.store.restore(copy)
+
+    async def write_again(self) -> None:
+        """Writes what a restore has lost, as operators and targets do."""
+        if self._table is not None:
+            await writer.put_table(self.store, self._table)
+        for target in self.targets:
+            if target is not None:
+                state = self._written_states[target.target_id]
+                await self._put_target(target, state)
+        live = {t.target_id for t in self.targets if t is not None}
+        for target_id in self._written_states.keys() - live:
+            await writer.remove_target(self.store, target_id)
+
     # Targets.
 
     async def start_target(self, vm: int) -> None:
@@ -160,6 +198,8 @@
         await self._put_target(target, records.SERVING_STATE)
 
     async def _put_target(self, target: workload.Target, state: str) -> None:
+        self._written_states[target.target_id] = state
+        target.write_count += 1
         await writer.put_target(
             self.store,
             records.Target(
@@ -170,6 +210,8 @@
                 failure_domain=_failure_domain(target.vm),
                 slots=workload.SLOTS,
                 state=state,
+                started_unix_ms=target.started_unix_ms,
+                sequence=target.write_count,
             ),
         )
 
@@ -235,8 +277,8 @@
                     shares=(records.Share(service, 1.0),),
                 )
             )
-        table = records.RouteTable(version=version, routes=tuple(routes))
-        await writer.put_table(self.store, table)
+        self._table = records.RouteTable(version=version, routes=tuple(routes))
+        await writer.put_table(self.store, self._table)
         self.observations.tables.append((time.monotonic(), version))
 
     # Daemons.
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -86,8 +86,10 @@
       truncate_share: Share of responses that are truncated.
       duplicate_share: Share of responses that are sent twice.
       slow_factor: Factor by which runs take longer than usual.
-      rate_limit_per_s: Rate limit that it announces, or None.
+      rate_limit: Rate limit that it announces, or None.
       leaving: Whether it announces that it leaves.
+      started_unix_ms: When it started.
+      write_count: How often it has written its entry.
     """
 
     def __init__(
@@ -101,9 +103,11 @@
         self.vm, self.host = vm, host
         self.target_id = f"i-{vm}-{number}"
         self.service = service_of(vm)
+        self.started_unix_ms = int(time.time() * 1000)
+        self.write_count = 0
         self.drop_share = self.truncate_share = self.duplicate_share = 0.0
         self.slow_factor = 1.0
-        self.rate_limit_per_s: float | None = None
+        self.rate_limit: observations_lib.RateLimit | None = None
         self.leaving = False
         self._observations = observations
         self._rng = rng
@@ -122,6 +126,17 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def announce_rate_limit(self, limit_per_s: float | None) -> None:
+        """Announces another rate limit, or none, from now on."""
+        if self.rate_limit is not None:
+            self.rate_limit.end_s = time.monotonic()
+            self.rate_limit = None
+        if limit_per_s is not None:
+            self.rate_limit = observations_lib.RateLimit(
+                self.target_id, limit_per_s, time.monotonic()
+            )
+            self._observations.rate_limits.append(self.rate_limit)
+
     async def _serve(self, head, body, writer, number) -> None:
         self._writers.add(writer)
         attempt_id = head["mimosahaven-attempt"]
@@ -202,8 +217,9 @@
     async def _respond(
         self, writer, attempt_id, status, body, extra="", truncated=False
     ) -> None:
-        if self.rate_limit_per_s is not None:
-            extra += f"{RATE_LIMIT_HEADER}: {self.rate_limit_per_s:.1f}\r\n"
+        if self.rate_limit is not None:
+            limit_per_s = self.rate_limit.limit_per_s
+            extra += f"{RATE_LIMIT_HEADER}: {limit_per_s:.1f}\r\n"
         if self.leaving:
             extra += f"{LEAVING_HEADER}: 1\r\n"
         head = (
