--- a/mimosahaven/mesh/announcements.py
+++ b/mimosahaven/mesh/announcements.py
@@ -3,6 +3,7 @@
 import collections
 import math
 import typing
+from collections.abc import Callable
 
 from mimosahaven.mesh import http1
 from mimosahaven.mesh import records
@@ -51,31 +52,49 @@
         )
 
 
-class KnownRateLimits:
-    """Rate limits in the latest responses that this daemon has passed on."""
+class PassedOnAnnouncements:
+    """Announcements in the responses that this daemon has passed on.
 
-    def __init__(self):
-        self._by_incarnation: collections.OrderedDict[
+    Args:
+      headers: Names of the mesh's headers.
+      on_leaving: Called with a target that has announced that it leaves.
+    """
+
+    def __init__(
+        self,
+        headers: settings_lib.HeaderNames,
+        on_leaving: Callable[[records.Target], None],
+    ):
+        self._reader = AnnouncementReader(headers)
+        self._on_leaving = on_leaving
+        self._limits_per_s: collections.OrderedDict[
             records.Incarnation, float
         ] = collections.OrderedDict()
 
     def __len__(self) -> int:
-        return len(self._by_incarnation)
-
-    def record(
-        self, target: records.Target, rate_limit_per_s: float | None
-    ) -> None:
-        """Records what a response of a target says of its rate limit."""
-        self._by_incarnation.pop(target.incarnation, None)
-        if rate_limit_per_s is None:
-            return
-        self._by_incarnation[target.incarnation] = rate_limit_per_s
-        if len(self._by_incarnation) > KNOWN_MAX:
-            self._by_incarnation.popitem(last=False)
+        return len(self._limits_per_s)
 
-    def get(self, target: records.Target) -> float | None:
-        """Returns the rate limit of a target per second, or None."""
-        return self._by_incarnation.get(target.incarnation)
+    def record(self, target: records.Target, headers: http1.HeaderList) -> None:
+        """Records what a target announces in the headers of a response.
+
+        An invalid announcement says nothing: the previous one stays in force.
+        """
+        try:
+            announcement = self._reader.read(headers)
+        except InvalidAnnouncementError:
+            return
+        if announcement.leaving:
+            self._on_leaving(target)
+        limits = self._limits_per_s
+        limits.pop(target.incarnation, None)
+        if announcement.rate_limit_per_s is not None:
+            limits[target.incarnation] = announcement.rate_limit_per_s
+            if len(limits) > KNOWN_MAX:
+                limits.popitem(last=False)
+
+    def rate_limit_per_s(self, target: records.Target) -> float | None:
+        """Returns the latest rate limit of a target, or None."""
+        return self._limits_per_s.get(target.incarnation)
 
 
 def _parse_rate(value: bytes) -> float:
--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -34,6 +34,7 @@
 from mimosahaven.mesh import retrybudget
 from mimosahaven.mesh import runner as runner_lib
 from mimosahaven.mesh import settings as settings_lib
+from mimosahaven.mesh import shutdown
 from mimosahaven.mesh import storewatch
 from mimosahaven.mesh import subscriptions
 from mimosahaven.mesh import targetdrain as targetdrain_lib
@@ -42,19 +43,6 @@
 
 # Interval of the daemon's periodic work.
 TICK_MS = 50.0
-# Time after SIGTERM during which all requests are still served. Callers stop
-# sending requests after two failed readiness checks, one second apart. From
-# then on, the target is idle until its daemon has restarted; with a longer
-# drain, a rolling restart would take out several targets of a service at once.
-SERVE_AFTER_TERM_MS = 2_300.0
-# The drain ends this long before the process would be killed; closing all
-# connections takes up to half a second on a busy VM.
-KILL_MARGIN_MS = 900.0
-# After SERVE_AFTER_TERM_MS, a drain ends once no request is in flight and the
-# last request of a caller arrived longer ago than this.
-DRAIN_IDLE_MS = 200.0
-# Interval of the `state` events in the log.
-STATE_LOG_MS = 1_000.0
 
 
 class MeshDaemon:
@@ -79,7 +67,7 @@
         self.runner = runner_lib.Runner(
             settings, self.admission, self.in_flight, self.tasks, now_ms
         )
-        self.runner.notify_service = self._notify_service
+        self.runner.monitor.notify_service = self._notify_service
         self.runner.on_leaving = self._on_target_leaving
         self.balancer = loadbalancer_lib.LoadBalancer(
             settings.failure_domain, settings.target.host, rng
@@ -120,16 +108,15 @@
         )
         self._caller_connections: set[callerserver.CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
-        self._term_ms: float | None = None
-        self._last_request_ms = now_ms
+        self.term_ms: float | None = None
+        self.last_request_ms = now_ms
         self._last_housekeeping_ms = now_ms
-        self._state_logged_ms = now_ms
-        self._logged_rate_limit_per_s: float | None = None
+        self._status_log = report.StatusLog(self, now_ms)
 
     @property
     def ready(self) -> bool:
         """Whether the daemon accepts new callers."""
-        return self._term_ms is None and self.replica.index is not None
+        return self.term_ms is None and self.replica.index is not None
 
     # Implementation of callerserver.CallerHandler.
 
@@ -137,7 +124,7 @@
         self, request: callerserver.Request
     ) -> callerserver.Response:
         """Serves a request of a caller."""
-        self._last_request_ms = request.read_ms
+        self.last_request_ms = request.read_ms
         self._check_pause(request.read_ms)
         if self.pause_detector.refuses_new_requests(request.read_ms):
             self.log.request("", "refused", Code.STALE_AFTER_PAUSE, "")
@@ -151,7 +138,7 @@
 
     def should_close(self) -> bool:
         """Returns whether to close connections after a response."""
-        return self._term_ms is not None
+        return self.term_ms is not None
 
     def refuse(self, code: Code) -> callerserver.Response:
         """Returns the response to a request that could not be read."""
@@ -169,22 +156,7 @@
 
     def load(self) -> frames.Load:
         """Returns the load of the local target."""
-        now_ms = clock.monotonic_ms()
-        thresholds = {
-            service: value
-            for service, value in self.thresholds.export_all(now_ms).items()
-            if value[0]
-        }
-        return frames.Load(
-            self.admission.running,
-            self.admission.waiting,
-            0 if self.runner.health.down else self.admission.usable_limit,
-            self.admission.mean_ms,
-            self.admission.threshold,
-            thresholds,
-            self.replica.table_version,
-            self.replica.directory.revision,
-        )
+        return report.load(self, clock.monotonic_ms())
 
     def run_refusal_code(self) -> Code | None:
         """Returns the code with which a peer's run is refused, or None."""
@@ -211,7 +183,7 @@
         sign = self.replica.heartbeat(
             self.store_watch.has_store, clock.monotonic_ms()
         )
-        if self._term_ms is not None:
+        if self.term_ms is not None:
             sign.has_store = sign.watches_store = False
         return sign
 
@@ -296,25 +268,17 @@
 
     async def drain(self) -> None:
         """Finishes the work in flight, within the grace period."""
-        self._term_ms = clock.monotonic_ms()
-        self.log.event("stopping", f"{self._work_count()} in flight")
-        self.followers.publish(self.heartbeat())
-        end_ms = self._term_ms + self.settings.bounds.grace_s * 1000
-        end_ms -= KILL_MARGIN_MS
-        while (now_ms := clock.monotonic_ms()) < end_ms:
-            elapsed_ms = now_ms - self._term_ms
-            if elapsed_ms > SERVE_AFTER_TERM_MS:
-                self.runner.refuse_code = Code.LEAVING
-                self.outbound.draining = True
-                for connection in list(self._caller_connections):
-                    connection.close_if_idle()
-                is_idle = now_ms - self._last_request_ms > DRAIN_IDLE_MS
-                if not self._work_count() and is_idle:
-                    break
-            await asyncio.sleep(TICK_MS / 1000)
+        self.term_ms = clock.monotonic_ms()
+        await shutdown.drain(self)
 
-    def _work_count(self) -> int:
-        """Returns the number of requests of callers and of runs in progress."""
+    def close_idle_connections(self) -> None:
+        """Closes the connections of callers that wait for no response."""
+        for connection in list(self._caller_connections):
+            connection.close_if_idle()
+
+    @property
+    def work_count(self) -> int:
+        """Number of requests of callers and of runs in progress."""
         return self.outbound.in_flight_count + self.admission.running
 
     def _check_pause(self, now_ms: float) -> None:
@@ -358,22 +322,6 @@
         if target is not None:
             self.replica.mark_leaving(target)
 
-    def _log_rate_limit(self) -> None:
-        """Logs a change of the rate limit that the target announces.
-
-        It is compared at intervals, as a target may announce something else in
-        each response.
-        """
-        limit_per_s = self.admission.rate_limit_per_s
-        if limit_per_s == self._logged_rate_limit_per_s:
-            return
-        self._logged_rate_limit_per_s = limit_per_s
-        limit = "none" if limit_per_s is None else f"{limit_per_s:g}/s"
-        self.log.event(
-            "target announces",
-            f"rate limit {limit}, {self.runner.sent_count} requests sent",
-        )
-
     def _update_local_load(self, now_ms: float) -> None:
         host = self.settings.target.host
         self.balancer.record_load(host, self.load(), now_ms)
@@ -438,19 +386,13 @@
             self.followers.publish(heartbeat)
         await self.replica.tick(now_ms)
         self._complete_startup()
-        self._log_rate_limit()
+        self._status_log.tick(now_ms)
         if now_ms - self._last_housekeeping_ms >= 500:
             self._last_housekeeping_ms = now_ms
             self.peers.expire(now_ms)
             for connection in list(self._caller_connections):
                 connection.check_timeouts(now_ms)
             self.tasks.spawn(self.peer_probe.run())
-            self._log_state(now_ms)
             if self.settings_file and self.settings_file.has_changed():
                 self.reload()
         self.log.flush()
-
-    def _log_state(self, now_ms: float) -> None:
-        if now_ms - self._state_logged_ms >= STATE_LOG_MS:
-            self._state_logged_ms = now_ms
-            self.log.event("state", report.state_text(self))
--- a/mimosahaven/mesh/outbound.py
+++ b/mimosahaven/mesh/outbound.py
@@ -19,7 +19,6 @@
 from mimosahaven.mesh import records
 from mimosahaven.mesh import replica as replica_lib
 from mimosahaven.mesh import requestcontext as context_lib
-from mimosahaven.mesh import responsestream
 from mimosahaven.mesh import retrybudget
 from mimosahaven.mesh import runner as runner_lib
 from mimosahaven.mesh import sendhistory
@@ -47,24 +46,7 @@
 # Range of the Retry-After header.
 RETRY_AFTER_MIN_S = 0.3
 RETRY_AFTER_SPREAD_S = 0.7
-# Refusals by a daemon that do not indicate load. The target is avoided for a
-# short time.
-_UNAVAILABLE_CODES = frozenset(
-    {
-        Code.LEAVING,
-        Code.STARTING,
-        Code.TARGET_DOWN,
-        Code.STALE_AFTER_PAUSE,
-        Code.WRONG_INCARNATION,
-        Code.BARRED,
-        Code.LINK_LOST,
-    }
-)
-# Refusals that would be the same at every other daemon.
-_FINAL_CODES = frozenset(
-    {Code.DEADLINE_BEFORE_RUN, Code.DISPLACED, Code.QUARANTINED}
-)
-# Time for which a target is avoided after one of _UNAVAILABLE_CODES.
+# Time for which a target is avoided after one of outcomes.UNAVAILABLE_CODES.
 UNAVAILABLE_AVOID_MS = 300.0
 
 
@@ -103,10 +85,9 @@
             settings.headers, runner.in_flight
         )
         self._costs = calltreecosts.CallTreeCosts()
-        self._announcement_reader = announcements.AnnouncementReader(
-            settings.headers
+        self._announcements = announcements.PassedOnAnnouncements(
+            settings.headers, replica.mark_leaving
         )
-        self._rate_limits = announcements.KnownRateLimits()
         self._send_count = 0
         self._unavailable_since_ms: dict[str, float] = {}
         self.refuse_code: Code | None = Code.STARTING
@@ -238,7 +219,7 @@
                 self._budget.record_refusal(
                     context.service, clock.monotonic_ms()
                 )
-            elif code in _FINAL_CODES:
+            elif code in outcomes.FINAL_CODES:
                 break
         return self._refuse_exhausted(
             context, code, outcome_unknown, history.send_count
@@ -301,7 +282,7 @@
             context.request.body,
             self._replica.table_version,
             self._replica.directory.revision,
-            self._rate_limits.get(target),
+            self._announcements.rate_limit_per_s(target),
         )
         send = outcomes.Send(run, context.deadline_ms, context.root_ms)
         state = self._balancer.state(target)
@@ -332,7 +313,7 @@
                     balancer.set_unreachable(target.host, now_ms)
                 elif outcome.arrived:
                     balancer.record_result(target.host, True, now_ms)
-                elif outcome.code in _UNAVAILABLE_CODES:
+                elif outcome.code in outcomes.UNAVAILABLE_CODES:
                     state = balancer.state(target)
                     state.avoid_until_ms = now_ms + UNAVAILABLE_AVOID_MS
             case outcomes.Failed():
@@ -358,7 +339,7 @@
     ) -> Response:
         stream = outcome.stream
         now_ms = clock.monotonic_ms()
-        self._record_announcement(target, stream)
+        self._announcements.record(target, stream.headers)
         if stream.status < 300:
             self._costs.record(context.route.name, context.service, stream.tree)
         if context.parent is not None:
@@ -377,17 +358,6 @@
         )
         return Response(stream.status, stream=stream)
 
-    def _record_announcement(
-        self, target: records.Target, stream: responsestream.ResponseStream
-    ) -> None:
-        try:
-            announcement = self._announcement_reader.read(stream.headers)
-        except announcements.InvalidAnnouncementError:
-            return
-        self._rate_limits.record(target, announcement.rate_limit_per_s)
-        if announcement.leaving:
-            self._replica.mark_leaving(target)
-
     def _refuse_exhausted(
         self,
         context: context_lib.RequestContext,
--- a/mimosahaven/mesh/outcomes.py
+++ b/mimosahaven/mesh/outcomes.py
@@ -6,6 +6,26 @@
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import responsestream
 
+Code = codes.Code
+
+# Refusals by a daemon that do not indicate load. The target is avoided for a
+# short time.
+UNAVAILABLE_CODES = frozenset(
+    {
+        Code.LEAVING,
+        Code.STARTING,
+        Code.TARGET_DOWN,
+        Code.STALE_AFTER_PAUSE,
+        Code.WRONG_INCARNATION,
+        Code.BARRED,
+        Code.LINK_LOST,
+    }
+)
+# Refusals that would be the same at every other daemon.
+FINAL_CODES = frozenset(
+    {Code.DEADLINE_BEFORE_RUN, Code.DISPLACED, Code.QUARANTINED}
+)
+
 
 @dataclasses.dataclass(slots=True)
 class Answered:
@@ -23,7 +43,7 @@
       arrived: Whether the target itself refused it, and not its daemon.
     """
 
-    code: codes.Code
+    code: Code
     arrived: bool = False
 
 
@@ -31,7 +51,7 @@
 class Failed:
     """No response was received; the request may have run."""
 
-    code: codes.Code
+    code: Code
 
 
 Outcome = Answered | Refused | Failed
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -107,9 +107,9 @@
             case frames.Fetch():
                 self._write(handler.state_newer_than(frame))
             case frames.Crash():
-                handler.runner.on_crash(frame)
+                handler.runner.monitor.on_crash(frame)
             case frames.Clear():
-                handler.runner.crashes.clear(frame.fingerprint)
+                handler.runner.monitor.crashes.clear(frame.fingerprint)
             case frames.Follow():
                 state = handler.state_newer_than(frame)
                 if state.table is not None or state.targets is not None:
--- a/mimosahaven/mesh/report.py
+++ b/mimosahaven/mesh/report.py
@@ -1,13 +1,72 @@
-"""State of a mesh daemon for its metrics and its log."""
+"""State of a mesh daemon for its peers, its metrics and its log."""
 
 import typing
 
 from mimosahaven import clock
+from mimosahaven.mesh import frames
 
 if typing.TYPE_CHECKING:
     from mimosahaven.mesh import daemon as daemon_lib
 
 
+# Interval of the `state` events in the log.
+STATE_LOG_MS = 1_000.0
+
+
+class StatusLog:
+    """Logs the state of the local target at intervals, and its rate limit.
+
+    Args:
+      daemon: The daemon.
+      now_ms: Current time.
+    """
+
+    def __init__(self, daemon: "daemon_lib.MeshDaemon", now_ms: float):
+        self._daemon = daemon
+        self._state_logged_ms = now_ms
+        self._rate_limit_per_s: float | None = None
+
+    def tick(self, now_ms: float) -> None:
+        """Logs what is due.
+
+        The rate limit is compared at intervals, as a target may announce
+        another one in each response.
+        """
+        log = self._daemon.log
+        limit_per_s = self._daemon.admission.rate_limit_per_s
+        if limit_per_s != self._rate_limit_per_s:
+            self._rate_limit_per_s = limit_per_s
+            limit = "none" if limit_per_s is None else f"{limit_per_s:g}/s"
+            log.event(
+                "target announces",
+                f"rate limit {limit}, "
+                f"{self._daemon.runner.sent_count} requests sent",
+            )
+        if now_ms - self._state_logged_ms >= STATE_LOG_MS:
+            self._state_logged_ms = now_ms
+            log.event("state", state_text(self._daemon))
+
+
+def load(daemon: "daemon_lib.MeshDaemon", now_ms: float) -> frames.Load:
+    """Returns the load of the local target for other daemons."""
+    admission = daemon.admission
+    thresholds = {
+        service: value
+        for service, value in daemon.thresholds.export_all(now_ms).items()
+        if value[0]
+    }
+    return frames.Load(
+        admission.running,
+        admission.waiting,
+        0 if daemon.runner.monitor.health.down else admission.usable_limit,
+        admission.mean_ms,
+        admission.threshold,
+        thresholds,
+        daemon.replica.table_version,
+        daemon.replica.directory.revision,
+    )
+
+
 def gauges(daemon: "daemon_lib.MeshDaemon") -> dict[str, float]:
     """Returns the current values of the gauges, by name."""
     admission = daemon.admission
@@ -21,7 +80,7 @@
         "target_waiting": admission.waiting,
         "target_limit": admission.usable_limit,
         "target_mean_ms": admission.mean_ms,
-        "target_down": float(daemon.runner.health.down),
+        "target_down": float(daemon.runner.monitor.health.down),
         # -1 for no limit: a target may announce that it accepts nothing.
         "target_rate_limit_per_s": (
             -1.0 if rate_limit_per_s is None else rate_limit_per_s
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -8,11 +8,9 @@
 
 from mimosahaven import clock
 from mimosahaven import codes
-from mimosahaven import identity
 from mimosahaven import tasks as tasks_lib
 from mimosahaven.mesh import admission as admission_lib
 from mimosahaven.mesh import announcements
-from mimosahaven.mesh import crashtracker as crashtracker_lib
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import http1
 from mimosahaven.mesh import httpclient
@@ -20,7 +18,7 @@
 from mimosahaven.mesh import outcomes
 from mimosahaven.mesh import responsestream
 from mimosahaven.mesh import settings as settings_lib
-from mimosahaven.mesh import targethealth
+from mimosahaven.mesh import targetmonitor
 
 Code = codes.Code
 
@@ -33,8 +31,6 @@
 # Records of at-most-once sends are kept this long. No request lasts longer.
 AT_MOST_ONCE_RETENTION_MS = 60_000.0
 STATUS_MISDIRECTED = 421
-# Interval of the connection attempts that test whether the target is back.
-PROBE_INTERVAL_S = 0.2
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,9 +59,7 @@
 
     Attributes:
       pool: Connections to the target.
-      crashes: Crashes of the service's targets, by fingerprint of the request.
-      notify_service: Sends a frame to the other daemons of the service.
-      health: Health of the target.
+      monitor: Finds out whether the target responds, or has crashed.
       announced: Latest announcement of the target; None before its first
         response to this daemon.
       on_leaving: Called with the ID of the target when it announces that it
@@ -101,11 +95,9 @@
             settings.headers.attempt_id,
         )
         self.in_flight = in_flight
-        self.crashes = crashtracker_lib.CrashTracker()
-        self.notify_service: Callable[[frames.Frame], None] = lambda frame: None
-        # Start times of the runs that ended with a connection reset, by
-        # fingerprint, until it is known whether the target has crashed.
-        self._interrupted_runs: dict[str, float] = {}
+        self.monitor = targetmonitor.TargetMonitor(
+            self.pool, tasks, self._fail_retryable_runs, now_ms
+        )
         self._pending_decisions: dict[
             admission_lib.AdmissionRequest, asyncio.Future
         ] = {}
@@ -113,8 +105,6 @@
         self._at_most_once_sends: collections.OrderedDict[
             str, _AtMostOnceSend
         ] = collections.OrderedDict()
-        self._tasks = tasks
-        self.health = targethealth.TargetHealth(now_ms)
         self._announcement_reader = announcements.AnnouncementReader(
             settings.headers
         )
@@ -129,9 +119,9 @@
         now_ms = clock.monotonic_ms()
         if self.refuse_code is not None:
             return outcomes.Refused(self.refuse_code)
-        if self.health.down:
+        if self.monitor.health.down:
             return outcomes.Refused(Code.TARGET_DOWN)
-        if self._is_quarantined(send.run, now_ms):
+        if self.monitor.is_quarantined(send.run, now_ms):
             return outcomes.Refused(Code.QUARANTINED)
         if not send.run.once:
             return await self._admit_and_run(send)
@@ -169,8 +159,7 @@
         """
         self._apply_decisions(self.admission.tick(now_ms))
         self.pool.expire(now_ms)
-        if self.health.needs_probe(len(self.in_flight), now_ms):
-            self._start_probe()
+        self.monitor.tick(len(self.in_flight), now_ms)
         entries = self._at_most_once_sends
         while entries:
             send_id, entry = next(iter(entries.items()))
@@ -258,7 +247,7 @@
         try:
             acquired = await self.pool.acquire(started_ms)
             if isinstance(acquired, httpclient.ConnectFailure):
-                self._start_probe()
+                self.monitor.start_probe()
                 return outcomes.Refused(Code.TARGET_DOWN)
             connection = acquired
             now_ms = clock.monotonic_ms()
@@ -279,10 +268,9 @@
             except TimeoutError:
                 service_ms = clock.monotonic_ms() - started_ms
                 return outcomes.Failed(Code.TIMEOUT)
-            self.health.record_response(clock.monotonic_ms())
+            self.monitor.record_response(run, stream, now_ms)
             self._record_announcement(run, stream)
             outcome = self._classify_response(stream)
-            self._record_crash_evidence(run, stream, now_ms)
             if isinstance(outcome, outcomes.Answered):
                 service_ms = clock.monotonic_ms() - started_ms
                 stream.tree = {self._settings.service: 1.0}
@@ -321,80 +309,6 @@
                 self.pool.release(connection)
         self._release_slot(service_ms)
 
-    def on_crash(self, crash: frames.Crash) -> None:
-        """Records the runs that a crash of a target has interrupted."""
-        now_ms = clock.monotonic_ms()
-        for fingerprint, ran_ms in crash.ran_ms.items():
-            self.crashes.record_crash(fingerprint, ran_ms, now_ms)
-
-    def _is_quarantined(self, run: frames.Run, now_ms: float) -> bool:
-        return bool(self.crashes) and self.crashes.is_quarantined(
-            _fingerprint(run), now_ms
-        )
-
-    def _record_crash_evidence(
-        self,
-        run: frames.Run,
-        stream: responsestream.ResponseStream,
-        started_ms: float,
-    ) -> None:
-        """Records a run ended by a reset, and clears one that has succeeded."""
-        if stream.failure is Code.TARGET_LOST:
-            # A reset may only mean a lost response. The target is considered
-            # crashed only if it accepts no new connections either.
-            self._interrupted_runs[_fingerprint(run)] = started_ms
-            self._start_probe()
-        elif stream.failure is None and stream.status < 300 and self.crashes:
-            fingerprint = _fingerprint(run)
-            if self.crashes.clear(fingerprint):
-                self.notify_service(frames.Clear(fingerprint))
-
-    def _report_crash(self) -> None:
-        """Reports the interrupted runs to the other daemons of the service."""
-        if not self._interrupted_runs:
-            return
-        now_ms = clock.monotonic_ms()
-        crash = frames.Crash(
-            {
-                fingerprint: now_ms - started_ms
-                for fingerprint, started_ms in self._interrupted_runs.items()
-            }
-        )
-        self._interrupted_runs.clear()
-        self.on_crash(crash)
-        self.notify_service(crash)
-
-    def _start_probe(self) -> None:
-        if not self.health.probing:
-            self.health.probing = True
-            self._tasks.spawn(self._probe())
-
-    async def _probe(self) -> None:
-        """Tries to connect until it succeeds; no runs are sent meanwhile.
-
-        A target that refuses connections may be shutting down or overloaded
-        while it still processes its runs; only the reset of open connections
-        shows that its process is gone. An unresponsive target does not reset
-        them, so its retryable runs are failed here.
-        """
-        try:
-            while True:
-                opened = await self.pool.open()
-                if isinstance(opened, httpclient.ClientConnection):
-                    break
-                self.health.down = True
-                self._report_crash()
-                timed_out = opened is httpclient.ConnectFailure.TIMED_OUT
-                if timed_out and self.health.is_unresponsive(
-                    clock.monotonic_ms()
-                ):
-                    self._fail_retryable_runs()
-                await asyncio.sleep(PROBE_INTERVAL_S)
-            self._interrupted_runs.clear()
-            self.pool.release(opened)
-        finally:
-            self.health.record_recovery(clock.monotonic_ms())
-
     def _fail_retryable_runs(self) -> None:
         """Fails the runs that may be retried, and closes idle connections."""
         self.pool.close_idle()
@@ -466,10 +380,3 @@
         if stream.status < 300 and not is_signed:
             return outcomes.Failed(Code.ANSWER_TRUNCATED)
         return outcomes.Answered(stream)
-
-
-def _fingerprint(run: frames.Run) -> str:
-    """Returns the fingerprint that a request shares with its retries."""
-    return identity.fingerprint(
-        run.caller, "", run.method, run.path.decode("latin-1"), run.body
-    )
--- /dev/null
+++ b/mimosahaven/mesh/shutdown.py
@@ -0,0 +1,44 @@
+"""Planned stop of a mesh daemon."""
+
+import asyncio
+import typing
+
+from mimosahaven import clock
+from mimosahaven import codes
+
+if typing.TYPE_CHECKING:
+    from mimosahaven.mesh import daemon as daemon_lib
+
+# Time after SIGTERM during which all requests are still served. Callers stop
+# sending requests after two failed readiness checks, one second apart. From
+# then on, the target is idle until its daemon has restarted; with a longer
+# drain, a rolling restart would take out several targets of a service at once.
+SERVE_AFTER_TERM_MS = 2_300.0
+# The drain ends this long before the process would be killed; closing all
+# connections takes up to half a second on a busy VM.
+KILL_MARGIN_MS = 900.0
+# After SERVE_AFTER_TERM_MS, a drain ends once no request is in flight and the
+# last request of a caller arrived longer ago than this.
+DRAIN_IDLE_MS = 200.0
+# Interval at which the end of the work is checked for.
+CHECK_INTERVAL_MS = 50.0
+
+
+async def drain(daemon: "daemon_lib.MeshDaemon") -> None:
+    """Finishes the work in flight of a stopping daemon.
+
+    Returns within the grace period, counted from the daemon's `term_ms`.
+    """
+    term_ms = daemon.term_ms
+    daemon.log.event("stopping", f"{daemon.work_count} in flight")
+    daemon.followers.publish(daemon.heartbeat())
+    end_ms = term_ms + daemon.settings.bounds.grace_s * 1000 - KILL_MARGIN_MS
+    while (now_ms := clock.monotonic_ms()) < end_ms:
+        if now_ms - term_ms > SERVE_AFTER_TERM_MS:
+            daemon.runner.refuse_code = codes.Code.LEAVING
+            daemon.outbound.draining = True
+            daemon.close_idle_connections()
+            is_idle = now_ms - daemon.last_request_ms > DRAIN_IDLE_MS
+            if not daemon.work_count and is_idle:
+                break
+        await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
--- a/tests/mesh/test_announcements.py
+++ b/tests/mesh/test_announcements.py
@@ -35,27 +35,45 @@
         self.assertFalse(self.reader.read([]).leaving)
 
 
-class KnownRateLimitsTest(testtools.TestCase):
+class PassedOnAnnouncementsTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.known = announcements.KnownRateLimits()
+        self.left = []
+        self.passed_on = announcements.PassedOnAnnouncements(
+            HEADERS, lambda target: self.left.append(target.target_id)
+        )
+
+    def record(self, limit, target_id="i-1", started_unix_ms=1):
+        headers = [] if limit is None else [(b"limit", limit)]
+        target = samples.target(target_id, started_unix_ms=started_unix_ms)
+        self.passed_on.record(target, headers)
+
+    def limit_of(self, target_id="i-1", started_unix_ms=1):
+        target = samples.target(target_id, started_unix_ms=started_unix_ms)
+        return self.passed_on.rate_limit_per_s(target)
 
     def test_the_latest_response_counts(self):
-        target = samples.target("i-1")
-        self.known.record(target, 20.0)
-        self.known.record(target, 10.0)
-        self.assertEqual(10.0, self.known.get(target))
-        self.known.record(target, None)
-        self.assertIsNone(self.known.get(target))
+        self.record(b"20")
+        self.record(b"10")
+        self.assertEqual(10.0, self.limit_of())
+        self.record(None)
+        self.assertIsNone(self.limit_of())
+
+    def test_an_invalid_announcement_says_nothing(self):
+        self.record(b"20")
+        self.record(b"x")
+        self.assertEqual(20.0, self.limit_of())
 
     def test_a_new_incarnation_has_no_limit_yet(self):
-        self.known.record(samples.target("i-1", started_unix_ms=1), 20.0)
-        self.assertIsNone(
-            self.known.get(samples.target("i-1", started_unix_ms=2))
-        )
+        self.record(b"20")
+        self.assertIsNone(self.limit_of(started_unix_ms=2))
 
     def test_memory_is_bounded(self):
         for number in range(announcements.KNOWN_MAX + 5):
-            self.known.record(samples.target(f"i-{number}"), 1.0)
-        self.assertEqual(announcements.KNOWN_MAX, len(self.known))
-        self.assertIsNone(self.known.get(samples.target("i-0")))
+            self.record(b"1", f"i-{number}")
+        self.assertEqual(announcements.KNOWN_MAX, len(self.passed_on))
+        self.assertIsNone(self.limit_of("i-0"))
+
+    def test_a_target_that_leaves(self):
+        self.passed_on.record(samples.target("i-3"), [(b"leaving", b"1")])
+        self.assertEqual(["i-3"], self.left)
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -12,11 +12,11 @@
 
 from mimosahaven import clock
 from mimosahaven import codes
-from mimosahaven.mesh import daemon as daemon_lib
 from mimosahaven.mesh import feed as feed_lib
 from mimosahaven.mesh import httpclient
 from mimosahaven.mesh import records
 from mimosahaven.mesh import settings as settings_lib
+from mimosahaven.mesh import shutdown
 from mimosahaven.mesh import targethealth
 from tests.mesh import fleet as fleet_lib
 from tests.mesh import rawtarget
@@ -469,7 +469,7 @@
         self.run_scenario(scenario)
 
     def test_draining_finishes_work_that_outlasts_the_serving_period(self):
-        self.patch(daemon_lib, "SERVE_AFTER_TERM_MS", 100.0)
+        self.patch(shutdown, "SERVE_AFTER_TERM_MS", 100.0)
 
         async def slow(head, body, writer, number):
             await asyncio.sleep(0.8)
@@ -665,7 +665,7 @@
 
             async def restart(index):
                 await fleet_lib.wait_until(
-                    lambda: fleet.daemons[index].runner.health.down
+                    lambda: fleet.daemons[index].runner.monitor.health.down
                 )
                 target = fleet.targets[index]
                 await target.start(fleet.hosts[index], fleet_lib.TARGET_PORT)
@@ -684,7 +684,7 @@
                     await fleet_lib.wait_until(
                         lambda: (
                             not any(
-                                daemon.runner.health.down
+                                daemon.runner.monitor.health.down
                                 for daemon in fleet.daemons[1:]
                             )
                         )
--- a/tests/mesh/test_subscriptions.py
+++ b/tests/mesh/test_subscriptions.py
@@ -93,7 +93,7 @@
     def test_stopping_daemon_reports_no_store_in_its_heartbeat(self):
         async def scenario(fleet, are_relays):
             stopping = fleet.daemons[are_relays.index(True)]
-            stopping._term_ms = 0.0
+            stopping.term_ms = 0.0
             self.assertFalse(stopping.heartbeat().has_store)
 
         self.run_scenario(scenario)
