Let the soak prefer chosen faults, and write again only what a restore lost

After a restore from an older copy, operators and targets write again only what was written since the copy, as the platform does; all entries were written before. `--focus` and a second short seed in `make test` make rate limits, replaced targets and restores half of the faults.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from mimosahaven.testing import forwarder as forwarder_lib
 from mimosahaven.testing import processes
@@ -133,10 +134,10 @@
         harness.store.fault = harness.rng.choice(OUTAGES)
         try:
             await asyncio.sleep(duration_s / 3)
-            await harness.restore_store(age_s=2 + 2 * duration_s)
+            copied_s = await harness.restore_store(age_s=2 + 2 * duration_s)
         finally:
             harness.store.fault = fakestore.Fault.NONE
-        await harness.write_again()
+        await harness.write_again(copied_s)
 
 
 @register
@@ -205,8 +206,18 @@
     await processes.wait_until(restarted, description=f"vm {vm} restarted")
 
 
-async def run_faults(harness: "harness_lib.Harness", duration_s: float) -> None:
-    """Injects faults for a time; faults of different VMs overlap."""
+async def run_faults(
+    harness: "harness_lib.Harness",
+    duration_s: float,
+    focus: Sequence[str] = (),
+) -> None:
+    """Injects faults for a time; faults of different VMs overlap.
+
+    Args:
+      harness: The soak.
+      duration_s: Time in which faults begin.
+      focus: Names of faults that make up half of all.
+    """
     rng = harness.rng
     end_s = time.monotonic() + duration_s
     busy_vms: set[int] = set()
@@ -229,7 +240,8 @@
                 busy_vms.discard(vm)
 
     while time.monotonic() < end_s:
-        name = rng.choice(sorted(FAULTS))
+        in_focus = focus and rng.random() < 0.5
+        name = rng.choice(sorted(focus if in_focus else FAULTS))
         vm = rng.randrange(harness.count)
         fault_s = rng.uniform(0.3, 3.0)
         if vm not in busy_vms or name in OVERLAPPING:
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -29,6 +29,7 @@
 RESTART_DELAY_S = 0.3
 STALL_THRESHOLD_S = 0.25
 COPY_INTERVAL_S = 0.5
+TABLE_KEY = "table"
 COPIES_MAX = 40
 # Soaks of the same process use separate addresses.
 _network_numbers = itertools.count(1)
@@ -73,7 +74,8 @@
         self._copies: collections.deque[tuple[float, fakestore.Copy]] = (
             collections.deque(maxlen=COPIES_MAX)
         )
-        self._written_states: dict[str, str] = {}
+        # Time and key of each write: TABLE_KEY, or the ID of a target.
+        self._writes: list[tuple[float, str]] = []
         self._tasks: list[asyncio.Task] = []
 
     @property
@@ -161,25 +163,30 @@
             self._copies.append((time.monotonic(), self.store.copy()))
             await asyncio.sleep(COPY_INTERVAL_S)
 
-    async def restore_store(self, age_s: float) -> None:
-        """Restores the store from the oldest copy of at most an age."""
+    async def restore_store(self, age_s: float) -> float:
+        """Restores the store from the oldest copy of at most an age.
+
+        Returns:
+          Time of the copy.
+        """
         since_s = time.monotonic() - age_s
         while len(self._copies) > 1 and self._copies[0][0] < since_s:
             self._copies.popleft()
-        _, copy = self._copies[0]
+        copied_s, copy = self._copies[0]
         await self.store.restore(copy)
+        return copied_s
 
-    async def write_again(self) -> None:
-        """Writes what a restore has lost, as operators and targets do."""
-        if self._table is not None:
+    async def write_again(self, since_s: float) -> None:
+        """Writes again what was written since, as operators and targets do."""
+        lost = {key for at_s, key in self._writes if at_s > since_s}
+        if TABLE_KEY in lost:
             await writer.put_table(self.store, self._table)
         for target in self.targets:
-            if target is not None:
-                state = self._written_states[target.target_id]
-                await self._put_target(target, state)
-        live = {t.target_id for t in self.targets if t is not None}
-        for target_id in self._written_states.keys() - live:
-            await writer.remove_target(self.store, target_id)
+            if target is not None and target.target_id in lost:
+                await self._put_target(target, target.state)
+                lost.discard(target.target_id)
+        for target_id in lost - {TABLE_KEY}:
+            await self._remove_target(target_id)
 
     # Targets.
 
@@ -198,8 +205,9 @@
         await self._put_target(target, records.SERVING_STATE)
 
     async def _put_target(self, target: workload.Target, state: str) -> None:
-        self._written_states[target.target_id] = state
+        target.state = state
         target.write_count += 1
+        self._writes.append((time.monotonic(), target.target_id))
         await writer.put_target(
             self.store,
             records.Target(
@@ -215,12 +223,16 @@
             ),
         )
 
+    async def _remove_target(self, target_id: str) -> None:
+        self._writes.append((time.monotonic(), target_id))
+        await writer.remove_target(self.store, target_id)
+
     async def crash_target(self, vm: int) -> None:
         """Stops a target abruptly and removes its store entry after a delay."""
         target, self.targets[vm] = self.targets[vm], None
         target.crash()
         await asyncio.sleep(1.0)
-        await writer.remove_target(self.store, target.target_id)
+        await self._remove_target(target.target_id)
 
     async def replace_target(self, vm: int, listed: bool) -> None:
         """Drains a target and starts another one at its address.
@@ -235,7 +247,7 @@
             await asyncio.sleep(DRAIN_S + 1.5)
             self.targets[vm] = None
             target.crash()
-            await writer.remove_target(self.store, target.target_id)
+            await self._remove_target(target.target_id)
             await self.start_target(vm)
             return
         await self._put_target(target, records.DRAINING_STATE)
@@ -245,7 +257,7 @@
         await asyncio.sleep(DRAIN_S + 0.5)
         self.targets[vm] = None
         target.crash()
-        await writer.remove_target(self.store, target.target_id)
+        await self._remove_target(target.target_id)
         await asyncio.sleep(0.5)
         await self.start_target(vm)
 
@@ -278,6 +290,7 @@
                 )
             )
         self._table = records.RouteTable(version=version, routes=tuple(routes))
+        self._writes.append((time.monotonic(), TABLE_KEY))
         await writer.put_table(self.store, self._table)
         self.observations.tables.append((time.monotonic(), version))
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,6 +4,7 @@
 import collections
 import pathlib
 import tempfile
+from collections.abc import Sequence
 
 import click
 
@@ -22,14 +23,24 @@
     seconds: float,
     fault_free_s: float,
     directory: pathlib.Path,
+    focus: Sequence[str] = (),
 ) -> observations_lib.Observations:
-    """Runs the soak with one seed and returns the observations."""
+    """Runs the soak with one seed and returns the observations.
+
+    Args:
+      seed: Seed of all random choices.
+      vms: Number of VMs.
+      seconds: Time in which faults begin.
+      fault_free_s: Time without faults after it.
+      directory: Directory for settings and logs.
+      focus: Names of faults that make up half of all.
+    """
 
     async def run_soak() -> observations_lib.Observations:
         harness = harness_lib.Harness(vms, seed, directory)
         try:
             await harness.start()
-            await faults.run_faults(harness, seconds)
+            await faults.run_faults(harness, seconds, focus)
             await asyncio.sleep(fault_free_s)
         finally:
             await harness.stop()
@@ -66,8 +77,14 @@
     default=FAULT_FREE_S,
     help="Seconds without faults after them.",
 )
+@click.option(
+    "--focus",
+    multiple=True,
+    type=click.Choice(sorted(faults.FAULTS)),
+    help="Fault that is injected more often.",
+)
 @click.option("--keep", type=click.Path(path_type=pathlib.Path))
-def main(seeds, first, count, vms, seconds, calm, keep):
+def main(seeds, first, count, vms, seconds, calm, focus, keep):
     """Runs the soak with each seed; exits with 1 on any violation."""
     if first is not None:
         seeds = range(first, first + count)
@@ -76,7 +93,7 @@
         with tempfile.TemporaryDirectory(prefix="mimosahaven-soak-") as name:
             directory = keep / str(seed) if keep else pathlib.Path(name)
             directory.mkdir(parents=True, exist_ok=True)
-            observations = run_seed(seed, vms, seconds, calm, directory)
+            observations = run_seed(seed, vms, seconds, calm, directory, focus)
         violations = checks.check(observations)
         click.echo(f"seed {seed}: {summarize(observations)}")
         for violation in violations[:20]:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,10 +16,10 @@
 
 
 class SoakTest(testtools.TestCase):
-    def run_soak(self, seed):
+    def run_soak(self, seed, focus=()):
         with tempfile.TemporaryDirectory(prefix="mimosahaven-") as name:
             observations = run.run_seed(
-                seed, VMS, FAULTS_S, FAULT_FREE_S, pathlib.Path(name)
+                seed, VMS, FAULTS_S, FAULT_FREE_S, pathlib.Path(name), focus
             )
         self.assertEqual(
             [], checks.check(observations), run.summarize(observations)
@@ -28,6 +28,9 @@
     def test_a_short_soak(self):
         self.run_soak(1)
 
+    def test_a_short_soak_of_rate_limits_and_restores(self):
+        self.run_soak(2, ("limit_target", "replace_target", "store_restored"))
+
     def test_regression_seeds(self):
         for seed in REGRESSION_SEEDS:
             self.run_soak(seed)
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -90,6 +90,7 @@
       leaving: Whether it announces that it leaves.
       started_unix_ms: When it started.
       write_count: How often it has written its entry.
+      state: State in its entry.
     """
 
     def __init__(
@@ -105,6 +106,7 @@
         self.service = service_of(vm)
         self.started_unix_ms = int(time.time() * 1000)
         self.write_count = 0
+        self.state = ""
         self.drop_share = self.truncate_share = self.duplicate_share = 0.0
         self.slow_factor = 1.0
         self.rate_limit: observations_lib.RateLimit | None = None
