Do not believe a copy of an earlier refusal on a kept connection

Cause: a response is matched to its request by the echoed attempt ID. Two cases have no such match. An attempt that was refused may be sent to the same target again, on the same connection, so that a copy of the refusal has the ID of the new send; and a refusal without an ID was taken for the response to whatever was outstanding, as only successes had to have one. Class of fault: a message without an identity of its own on a connection that is used again.

Change: an attempt is never sent on a connection on which it has failed before (the pool takes another one or opens one), and any response without the ID ends the connection and counts as "may have run". A copy of another attempt's refusal was skipped already; so was a copy on an idle connection.

--- a/mimosahaven/mesh/httpclient.py
+++ b/mimosahaven/mesh/httpclient.py
@@ -31,6 +31,8 @@
 OVERHEAD_PER_BODY_BYTE = 16
 # Bytes that each header takes besides its name and value.
 HEADER_OVERHEAD_BYTES = 4
+# A connection is replaced after this many failures, whose attempt IDs it keeps.
+FAILED_ATTEMPTS_MAX = 64
 
 
 class ResponseTooLargeError(Exception):
@@ -38,7 +40,7 @@
 
 
 class UnidentifiedResponseError(Exception):
-    """A success does not echo the ID of the request."""
+    """A response does not echo the ID of the request."""
 
 
 class ConnectFailure(enum.Enum):
@@ -73,6 +75,7 @@
         self._header_bytes = 0
         self._body_bytes = 0
         self._received_bytes = 0
+        self._failed_attempts: set[bytes] = set()
         self.usable = True
         self.idle_since_ms = 0.0
         self.keep_alive_timeout_ms = KEEP_ALIVE_TIMEOUT_DEFAULT_MS
@@ -121,6 +124,14 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def may_repeat_failure_of(self, attempt_id: bytes) -> bool:
+        """Returns whether an attempt has failed on this connection before.
+
+        A server may send its response to that once more. The copy echoes the
+        same ID, so that it could not be told from the response to a new send.
+        """
+        return attempt_id in self._failed_attempts
+
     def is_reusable(self, now_ms: float) -> bool:
         """Returns whether the connection is expected to stay open for reuse."""
         max_idle_ms = self.keep_alive_timeout_ms - IDLE_MARGIN_MS
@@ -218,9 +229,13 @@
             self._ignore_message = True
             self.usable = False
             return
-        if echoed is None and self._attempt_header and status < 300:
+        if echoed is None and self._attempt_header:
             # Without the ID, it may belong to another request.
             raise UnidentifiedResponseError
+        if status >= 300 and self._attempt_id:
+            self._failed_attempts.add(self._attempt_id)
+            if len(self._failed_attempts) >= FAILED_ATTEMPTS_MAX:
+                self.usable = False
         length = http1.find_header(headers, b"content-length")
         coding = http1.find_header(headers, b"transfer-encoding")
         self._close_delimited = (
@@ -291,19 +306,31 @@
         self._idle: collections.deque[ClientConnection] = collections.deque()
         self.opened_count = 0
 
-    async def acquire(self, now_ms: float) -> ClientConnection | ConnectFailure:
+    async def acquire(
+        self, now_ms: float, attempt_id: bytes = b""
+    ) -> ClientConnection | ConnectFailure:
         """Returns a connection, or the reason why none can be opened.
 
         The most recently used connection is reused first, so that surplus ones
-        reach the idle timeout and are closed.
+        reach the idle timeout and are closed. Connections on which the attempt
+        has failed before are left to others.
+
+        Args:
+          now_ms: Current time.
+          attempt_id: The attempt that will be sent on the connection.
         """
-        idle = self._idle
-        while idle:
-            connection = idle.pop()
-            if connection.is_reusable(now_ms):
-                return connection
-            connection.close()
-        return await self.open()
+        found: ClientConnection | None = None
+        unsuitable: list[ClientConnection] = []
+        while self._idle and found is None:
+            connection = self._idle.pop()
+            if not connection.is_reusable(now_ms):
+                connection.close()
+            elif connection.may_repeat_failure_of(attempt_id):
+                unsuitable.append(connection)
+            else:
+                found = connection
+        self._idle.extend(reversed(unsuitable))
+        return found or await self.open()
 
     async def open(self) -> ClientConnection | ConnectFailure:
         """Opens a connection, or returns the reason for the failure."""
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -245,7 +245,8 @@
         streaming = False
         connection = None
         try:
-            acquired = await self.pool.acquire(started_ms)
+            attempt_id = run.attempt_id.encode("latin-1")
+            acquired = await self.pool.acquire(started_ms, attempt_id)
             if isinstance(acquired, httpclient.ConnectFailure):
                 self.monitor.start_probe()
                 return outcomes.Refused(Code.TARGET_DOWN)
@@ -258,7 +259,7 @@
             self.sent_count += 1
             stream = connection.send(
                 self._encode_request(send, now_ms),
-                run.attempt_id.encode("latin-1"),
+                attempt_id,
                 run.method == "HEAD",
             )
             timeout_ms = send.deadline_ms - now_ms + DEADLINE_SLACK_MS
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -247,7 +247,8 @@
         async def full(head, body, writer, number):
             writer.write(
                 b"HTTP/1.1 503 Full\r\nMimosahaven-Not-Run: 1\r\n"
-                b"Content-Length: 0\r\n\r\n"
+                b"Mimosahaven-Attempt: %b\r\nContent-Length: 0\r\n\r\n"
+                % attempt_id(head)
             )
 
         async def scenario():
