Do not pass on 503 and the like as "not run" when the target may have run

What callers may see: a target that responds to an at-most-once request with 408, 429 or 503 but without the header that says "not run" has perhaps run it; the caller takes the status for a promise and sends the request again.

Cause: the header decided only whether the daemon itself sends again; the status was passed on. Such a response is now a failure with an unknown outcome: 502, without the target's signature. Idempotent requests get the target's response as before.

--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -31,6 +31,8 @@
 # Records of at-most-once sends are kept this long. No request lasts longer.
 AT_MOST_ONCE_RETENTION_MS = 60_000.0
 STATUS_MISDIRECTED = 421
+# Statuses by which a caller understands that its request has not run.
+NOT_RUN_STATUSES = frozenset({408, STATUS_MISDIRECTED, 429, 503})
 
 
 @dataclasses.dataclass(slots=True)
@@ -271,7 +273,7 @@
                 return outcomes.Failed(Code.TIMEOUT)
             self.monitor.record_response(run, stream, now_ms)
             self._record_announcement(run, stream)
-            outcome = self._classify_response(stream)
+            outcome = self._classify_response(run, stream)
             if isinstance(outcome, outcomes.Answered):
                 service_ms = clock.monotonic_ms() - started_ms
                 stream.tree = {self._settings.service: 1.0}
@@ -364,7 +366,7 @@
             self.admission.set_rate_limit(rate_limit_per_s, now_ms)
 
     def _classify_response(
-        self, stream: responsestream.ResponseStream
+        self, run: frames.Run, stream: responsestream.ResponseStream
     ) -> outcomes.Outcome:
         if stream.failure is not None:
             return outcomes.Failed(stream.failure)
@@ -372,6 +374,9 @@
             return outcomes.Refused(Code.WRONG_INCARNATION, arrived=True)
         if http1.find_header(stream.headers, self._not_run_header) is not None:
             return outcomes.Refused(Code.TARGET_REFUSED, arrived=True)
+        if run.once and stream.status in NOT_RUN_STATUSES:
+            # Without the header, the request may have run.
+            return outcomes.Failed(Code.TARGET_ERROR)
         is_signed = (
             http1.find_header(stream.headers, self._signature_header)
             is not None
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -264,6 +264,31 @@
 
         self.run_scenario(scenario)
 
+    def test_a_status_that_means_not_run_needs_the_header_that_says_so(self):
+        # The target itself may respond with such a status after the run. The
+        # caller would send an at-most-once request again.
+        async def scenario(status):
+            async def respond(head, body, writer, number):
+                writer.write(
+                    b"HTTP/1.1 %d X\r\nMimosahaven-Attempt: %b\r\n"
+                    b"Mimosahaven-Signature: s1\r\nContent-Length: 0\r\n\r\n"
+                    % (status, attempt_id(head))
+                )
+
+            routes = [samples.route(repeat_rule=ONCE)]
+            async with fleet_lib.Fleet(
+                ["katalog"], [respond], routes
+            ) as fleet:
+                got, head, _ = await fleet.send_request(
+                    method="POST", body=b"x"
+                )
+                self.assertEqual(502, got)
+                self.assertNotIn("mimosahaven-signature", head)
+                self.assertEqual(1, len(fleet.targets[0].requests))
+
+        for status in (408, 429, 503):
+            self.run_scenario(functools.partial(scenario, status))
+
     def test_a_later_refusal_does_not_hide_an_unknown_outcome(self):
         async def truncate_and_drain(head, body, writer, number):
             for daemon in fleet_holder[0].daemons:
