Refuse what may outlast a planned stop, and answer what does

What callers may see: a request that a stopping daemon has accepted and passed on gets no response at all; the connection closes at the end of the grace period.

Cause: for 2.3 s after SIGTERM all requests are served, however long they may take, and what is in progress at the end is dropped with its connection. Class of fault: work is accepted without asking whether it fits into the time left.

Change: from SIGTERM on, a request whose route usually takes longer than what is left (mean and four deviations of what this daemon has seen; its deadline, where it has seen nothing) is refused as not run before it is passed on. Runs for other daemons likewise, so that these send them to another target. What is still in progress at the end gets a complete 504, which promises nothing, before the connection closes; requests pipelined behind it count as not read. Calls of the local target for requests in progress are served as before.

Short requests are served for the whole of the 2.3 s, as before.

--- a/mimosahaven/mesh/callerserver.py
+++ b/mimosahaven/mesh/callerserver.py
@@ -182,6 +182,20 @@
         """Closes the connection at once."""
         self._transport.abort()
 
+    def end_exchanges(self) -> None:
+        """Ends the requests that have no response yet; then closes.
+
+        Each of them may have run. Requests behind the first one get none: it
+        closes the connection, by which their callers know that they were not
+        read.
+        """
+        for exchange in self._exchanges:
+            if exchange.response is None:
+                exchange.task.cancel()
+                exchange.response = self._handler.refuse(Code.TIMEOUT)
+                exchange.close = True
+        self._write_ready()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in progress."""
         if not self.busy and self._transport is not None:
--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -276,6 +276,16 @@
         for connection in list(self._caller_connections):
             connection.close_if_idle()
 
+    def end_exchanges(self) -> None:
+        """Ends the requests of callers that have no response yet."""
+        for connection in list(self._caller_connections):
+            connection.end_exchanges()
+
+    @property
+    def caller_connection_count(self) -> int:
+        """Number of open connections of callers."""
+        return len(self._caller_connections)
+
     @property
     def work_count(self) -> int:
         """Number of requests of callers and of runs in progress."""
--- a/mimosahaven/mesh/outbound.py
+++ b/mimosahaven/mesh/outbound.py
@@ -10,6 +10,7 @@
 from mimosahaven.mesh import announcements
 from mimosahaven.mesh import callerserver
 from mimosahaven.mesh import calltreecosts
+from mimosahaven.mesh import durations
 from mimosahaven.mesh import eventlog
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import http1
@@ -57,6 +58,7 @@
       refuse_code: Code with which all requests are refused, or None.
       draining: Whether new requests are refused; calls made on behalf of
         requests in flight are still served.
+      stop_ms: Time at which the daemon stops serving, or None.
       in_flight_count: Requests being served.
     """
 
@@ -90,6 +92,8 @@
         )
         self._send_count = 0
         self._unavailable_since_ms: dict[str, float] = {}
+        self._durations = durations.RouteDurations()
+        self.stop_ms: float | None = None
         self.refuse_code: Code | None = Code.STARTING
         self.draining = False
         self.in_flight_count = 0
@@ -127,7 +131,9 @@
         if isinstance(context, Code):
             self._log_refused(request, context)
             return self.refuse(context)
-        if context.parent is None and self.draining:
+        if context.parent is None and (
+            self.draining or self._may_outlast_stop(context)
+        ):
             self._log_refused(request, Code.LEAVING)
             return self.refuse(Code.LEAVING)
         self._budget.record_first_attempt(context.service, request.read_ms)
@@ -141,6 +147,10 @@
             async with asyncio.timeout(max(0.0, timeout_ms) / 1000):
                 return await self._send_with_retries(context)
         except TimeoutError:
+            self._durations.record(
+                context.route.name,
+                clock.monotonic_ms() - context.request.read_ms,
+            )
             self._log.request(
                 context.attempt_id, "no word", Code.TIMEOUT, context.service
             )
@@ -152,6 +162,16 @@
             context.service, context.route.name, context.priority, False, now_ms
         )
 
+    def _may_outlast_stop(self, context: context_lib.RequestContext) -> bool:
+        """Returns whether a request may last longer than this daemon."""
+        return self.stop_ms is not None and self.stop_ms < (
+            self._durations.latest_end_ms(
+                context.route.name,
+                context.request.read_ms,
+                context.deadline_ms,
+            )
+        )
+
     def _log_refused(self, request: callerserver.Request, code: Code) -> None:
         host = http1.find_header(request.headers, b"host") or b""
         self._log.request(
@@ -340,6 +360,8 @@
         stream = outcome.stream
         now_ms = clock.monotonic_ms()
         self._announcements.record(target, stream.headers)
+        duration_ms = now_ms - context.request.read_ms
+        self._durations.record(context.route.name, duration_ms)
         if stream.status < 300:
             self._costs.record(context.route.name, context.service, stream.tree)
         if context.parent is not None:
@@ -354,7 +376,7 @@
             context.route.name,
             target.target_id,
             stream.status,
-            now_ms - context.request.read_ms,
+            duration_ms,
         )
         return Response(stream.status, stream=stream)
 
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -11,6 +11,7 @@
 from mimosahaven import tasks as tasks_lib
 from mimosahaven.mesh import admission as admission_lib
 from mimosahaven.mesh import announcements
+from mimosahaven.mesh import durations
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import http1
 from mimosahaven.mesh import httpclient
@@ -68,6 +69,7 @@
         leaves.
       sent_count: Number of requests sent to the target.
       refuse_code: Code with which all runs are refused, or None.
+      stop_ms: Time at which the daemon stops serving, or None.
     """
 
     def __init__(
@@ -115,12 +117,19 @@
         self._dispatch_timer: asyncio.TimerHandle | None = None
         self.sent_count = 0
         self.refuse_code: Code | None = Code.STARTING
+        self.stop_ms: float | None = None
+        self._duration = durations.DurationEstimate()
 
     async def run(self, send: outcomes.Send) -> outcomes.Outcome:
         """Runs a request; cancelling the call also cancels it at the target."""
         now_ms = clock.monotonic_ms()
         if self.refuse_code is not None:
             return outcomes.Refused(self.refuse_code)
+        if self.stop_ms is not None and self.stop_ms < (
+            self._duration.latest_end_ms(now_ms, send.deadline_ms)
+        ):
+            # Another daemon can run it to its end.
+            return outcomes.Refused(Code.LEAVING)
         if self.monitor.health.down:
             return outcomes.Refused(Code.TARGET_DOWN)
         if self.monitor.is_quarantined(send.run, now_ms):
@@ -191,7 +200,10 @@
             raise
         if code is not None:
             return outcomes.Refused(code)
-        return await self._run_admitted(send)
+        outcome = await self._run_admitted(send)
+        if isinstance(outcome, outcomes.Answered):
+            self._duration.record(clock.monotonic_ms() - now_ms)
+        return outcome
 
     def _apply_decisions(
         self, decisions: admission_lib.AdmissionDecisions
--- a/mimosahaven/mesh/shutdown.py
+++ b/mimosahaven/mesh/shutdown.py
@@ -22,17 +22,24 @@
 DRAIN_IDLE_MS = 200.0
 # Interval at which the end of the work is checked for.
 CHECK_INTERVAL_MS = 50.0
+# Time for callers to receive the responses to requests that have been ended.
+FLUSH_MS = 300.0
 
 
 async def drain(daemon: "daemon_lib.MeshDaemon") -> None:
     """Finishes the work in flight of a stopping daemon.
 
     Returns within the grace period, counted from the daemon's `term_ms`.
+    Requests that may last longer are refused from the start, before any work,
+    so that their callers and other daemons send them elsewhere. Those that do
+    last longer are ended with a response that leaves open whether they have
+    run.
     """
     term_ms = daemon.term_ms
     daemon.log.event("stopping", f"{daemon.work_count} in flight")
     daemon.followers.publish(daemon.heartbeat())
     end_ms = term_ms + daemon.settings.bounds.grace_s * 1000 - KILL_MARGIN_MS
+    daemon.outbound.stop_ms = daemon.runner.stop_ms = end_ms
     while (now_ms := clock.monotonic_ms()) < end_ms:
         if now_ms - term_ms > SERVE_AFTER_TERM_MS:
             daemon.runner.refuse_code = codes.Code.LEAVING
@@ -40,5 +47,12 @@
             daemon.close_idle_connections()
             is_idle = now_ms - daemon.last_request_ms > DRAIN_IDLE_MS
             if not daemon.work_count and is_idle:
-                break
+                return
+        await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
+    daemon.log.event("ending requests", f"{daemon.work_count} in flight")
+    daemon.end_exchanges()
+    flushed_ms = clock.monotonic_ms() + FLUSH_MS
+    while clock.monotonic_ms() < flushed_ms:
+        if not daemon.caller_connection_count:
+            return
         await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -276,9 +276,7 @@
                 )
 
             routes = [samples.route(repeat_rule=ONCE)]
-            async with fleet_lib.Fleet(
-                ["katalog"], [respond], routes
-            ) as fleet:
+            async with fleet_lib.Fleet(["katalog"], [respond], routes) as fleet:
                 got, head, _ = await fleet.send_request(
                     method="POST", body=b"x"
                 )
--- /dev/null
+++ b/tests/mesh/test_shutdown.py
@@ -0,0 +1,182 @@
+"""Planned stop of a daemon whose requests may outlast its grace period."""
+
+import asyncio
+import collections
+
+import msgspec
+import testtools
+from testtools import matchers
+
+from mimosahaven.mesh import records
+from mimosahaven.mesh import shutdown
+from tests.mesh import fleet as fleet_lib
+from tests.mesh import rawtarget
+from tests.mesh import samples
+
+GRACE_S = 1.5
+SERVE_S = 0.8
+# The grace period ends long before the deadlines.
+DEADLINE_MS = 8_000
+
+
+def set_grace(daemon):
+    bounds = msgspec.structs.replace(daemon.settings.bounds, grace_s=GRACE_S)
+    daemon.settings = msgspec.structs.replace(daemon.settings, bounds=bounds)
+
+
+class PlannedStopTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(shutdown, "SERVE_AFTER_TERM_MS", SERVE_S * 1000)
+        self.patch(shutdown, "KILL_MARGIN_MS", 500.0)
+        self.run_counts = collections.Counter()
+
+    def target_that_takes(self, work_s):
+        async def serve(head, body, writer, number):
+            self.run_counts[head["mimosahaven-attempt"]] += 1
+            await asyncio.sleep(work_s)
+            await rawtarget.respond_ok(head, body, writer, number)
+
+        return serve
+
+    def stop_under_load(self, services, work_s, warm_up_count=0):
+        """Stops the first daemon while a caller sends a request each 50 ms.
+
+        Returns:
+          Status of each request, by attempt ID; None for one without response.
+        """
+
+        async def send(fleet, attempt):
+            try:
+                status, _, _ = await fleet.send_request(
+                    attempt=attempt,
+                    method="POST",
+                    body=b"x",
+                    deadline_ms=DEADLINE_MS,
+                )
+            except (asyncio.IncompleteReadError, ConnectionResetError):
+                return None
+            except ConnectionRefusedError:
+                return "closed"
+            return status
+
+        async def scenario():
+            route = samples.route(
+                repeat_rule=records.RepeatRule.ONCE, timeout_ms=DEADLINE_MS
+            )
+            handlers = [self.target_that_takes(work_s)] * len(services)
+            async with fleet_lib.Fleet(
+                services, handlers, [route], slots=100
+            ) as fleet:
+                for daemon in fleet.daemons:
+                    set_grace(daemon)
+                for number in range(warm_up_count):
+                    await send(fleet, f"warm-up-{number}")
+                stopping, pending = None, {}
+                for number in range(30):
+                    attempt = f"r{number}"
+                    pending[attempt] = asyncio.ensure_future(
+                        send(fleet, attempt)
+                    )
+                    await asyncio.sleep(0.05)
+                    if number == 3:
+                        stopping = asyncio.ensure_future(
+                            self.drain_and_stop(fleet.daemons[0])
+                        )
+                await stopping
+                statuses = await asyncio.gather(*pending.values())
+                return dict(zip(pending, statuses, strict=True))
+
+        return asyncio.run(asyncio.wait_for(scenario(), 30))
+
+    async def drain_and_stop(self, daemon):
+        await daemon.drain()
+        daemon.stop()
+
+    def assert_all_are_told(self, statuses):
+        self.assertNotIn(None, statuses.values())
+        for attempt, status in statuses.items():
+            if status in (503, "closed"):
+                self.assertEqual(0, self.run_counts[attempt], attempt)
+
+    def test_a_request_that_may_outlast_the_grace_period_is_not_passed_on(self):
+        for services in (["katalog"], ["ordre", "katalog"]):
+            statuses = self.stop_under_load(services, work_s=5)
+            self.assert_all_are_told(statuses)
+            # Those in flight at SIGTERM get no response of the target in time;
+            # they are told that the outcome is unknown.
+            before = [statuses[f"r{number}"] for number in range(4)]
+            self.assertEqual([504] * 4, before)
+            self.assertEqual(4, sum(self.run_counts.values()))
+            self.run_counts.clear()
+
+    def test_short_requests_are_served_until_the_callers_have_left(self):
+        statuses = self.stop_under_load(
+            ["katalog"], work_s=0.05, warm_up_count=10
+        )
+        self.assert_all_are_told(statuses)
+        served = [s for s in statuses.values() if s == 200]
+        self.assertThat(len(served), matchers.GreaterThan(10))
+        self.assertNotIn(504, statuses.values())
+
+    def test_a_run_for_another_daemon_that_may_outlast_the_grace_period(self):
+        # It goes to the target of a daemon that does not stop.
+        async def scenario():
+            route = samples.route(
+                repeat_rule=records.RepeatRule.ONCE, timeout_ms=DEADLINE_MS
+            )
+            services = ["katalog", "katalog", "ordre"]
+            handlers = [self.target_that_takes(1.5)] * 3
+            async with fleet_lib.Fleet(services, handlers, [route]) as fleet:
+                daemon = fleet.daemons[0]
+                set_grace(daemon)
+                stopping = asyncio.ensure_future(self.drain_and_stop(daemon))
+                await asyncio.sleep(0.1)
+                responses = await asyncio.gather(
+                    *(
+                        fleet.send_request(
+                            2,
+                            attempt=f"r{number}",
+                            method="POST",
+                            body=b"x",
+                            deadline_ms=DEADLINE_MS,
+                        )
+                        for number in range(6)
+                    )
+                )
+                await stopping
+                return [status for status, _, _ in responses]
+
+        statuses = asyncio.run(asyncio.wait_for(scenario(), 30))
+        self.assertEqual([200] * 6, statuses)
+
+    def test_a_pipelined_request_behind_one_that_is_ended(self):
+        # A request behind a response that closes the connection is one that has
+        # not been read: its caller sends it again.
+        async def scenario():
+            handlers = [self.target_that_takes(5)]
+            route = samples.route(timeout_ms=DEADLINE_MS)
+            async with fleet_lib.Fleet(["katalog"], handlers, [route]) as fleet:
+                daemon = fleet.daemons[0]
+                set_grace(daemon)
+                async with fleet.connect() as (reader, writer):
+                    for attempt in ("r1", "r2"):
+                        writer.write(
+                            fleet_lib.request(
+                                attempt=attempt, deadline_ms=DEADLINE_MS
+                            )
+                        )
+                    await fleet_lib.wait_until(
+                        lambda: len(fleet.targets[0].requests) == 2
+                    )
+                    stopping = asyncio.ensure_future(
+                        self.drain_and_stop(daemon)
+                    )
+                    status, head, _ = await fleet_lib.read_response(reader)
+                    self.assertEqual(
+                        (504, "close"), (status, head["connection"])
+                    )
+                    self.assertEqual(b"", await reader.read())
+                    await stopping
+
+        asyncio.run(asyncio.wait_for(scenario(), 30))
