Answer what a stopping daemon has read before it closes

From the code, one that was read between the last check and the end of the process could be dropped: connections were still accepted then, and all were aborted.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -252,8 +252,7 @@
 
     def stop(self) -> None:
         """Closes sockets and connections, and cancels all tasks."""
-        for server in self._servers:
-            server.close()
+        self.close_listeners()
         self.tasks.cancel_all()
         for connection in list(self._caller_connections):
             connection.abort()
@@ -271,6 +270,12 @@
         self.term_ms = clock.monotonic_ms()
         await shutdown.drain(self)
 
+    def close_listeners(self) -> None:
+        """Stops accepting connections."""
+        for server in self._servers:
+            server.close()
+        self._servers.clear()
+
     def close_idle_connections(self) -> None:
         """Closes the connections of callers that wait for no response."""
         for connection in list(self._caller_connections):
--- a/mimosahaven/mesh/shutdown.py
+++ b/mimosahaven/mesh/shutdown.py
@@ -47,12 +47,16 @@
             daemon.close_idle_connections()
             is_idle = now_ms - daemon.last_request_ms > DRAIN_IDLE_MS
             if not daemon.work_count and is_idle:
-                return
+                break
         await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
-    daemon.log.event("ending requests", f"{daemon.work_count} in flight")
-    daemon.end_exchanges()
+    else:
+        daemon.log.event("ending requests", f"{daemon.work_count} in flight")
+        daemon.end_exchanges()
+    # What has been read by now is still answered.
+    daemon.close_listeners()
     flushed_ms = clock.monotonic_ms() + FLUSH_MS
     while clock.monotonic_ms() < flushed_ms:
         if not daemon.caller_connection_count:
-            return
+            break
+        daemon.close_idle_connections()
         await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
