Keep the fleet's retries in bounds when traffic moves between daemons

What breaks: the number of retries of the whole fleet.

Cause: each daemon may retry in proportion to the requests that it has seen in the last 10 s. When traffic moves, the daemon that it leaves has used its budget already, and the one that gets it earns the same requests' budget again. Class of fault: a bound on a sum, kept by bounds on parts at different times.

Change: requests count for a daemon's retries only as far as it has had as many in the window half a length before: the lower of two totals. 0.8 of the budget is used instead of 0.85, for traffic that moves to and fro.

--- a/mimosahaven/mesh/retrybudget.py
+++ b/mimosahaven/mesh/retrybudget.py
@@ -4,6 +4,10 @@
 each may retry in proportion to the requests that it has seen itself, and also
 has an equal part of a fixed number of retries, the slack of the fleet.
 
+Traffic may move from one daemon to another, in the extreme all of it. The first
+one has then used its budget, and requests must not count for retries at both:
+traffic that is new to a daemon counts only once it has lasted for a while.
+
 When all targets of a service deep in the call graph refuse many runs, the
 budget covers only a few percent of the retries wanted: an order that makes
 eight calls may need ten retries. The budget then goes to the most important
@@ -14,8 +18,9 @@
 import dataclasses
 
 # Share of its budget that a daemon uses. The rest is a margin for retries in
-# flight at a window boundary and for daemons that join or leave.
-USED_SHARE = 0.85
+# flight at a window boundary, for daemons that join or leave, and for traffic
+# that moves to and fro.
+USED_SHARE = 0.8
 # Share of the used part that requests below the highest rank may use.
 ORDINARY_SHARE = 0.6
 # Fewer refusals than this within REFUSAL_STEPS are not significant.
@@ -32,19 +37,33 @@
 
     def __init__(self, window_ms: float):
         self._step_ms = window_ms / _WINDOW_STEPS
+        # Index of each step, and the amount added in it.
         self._steps: collections.deque[list[float]] = collections.deque()
 
     def add(self, amount: float, now_ms: float) -> None:
         index = now_ms // self._step_ms
         if not self._steps or self._steps[-1][0] != index:
             self._steps.append([index, 0.0])
+            while self._steps[0][0] <= index - 2 * _WINDOW_STEPS:
+                self._steps.popleft()
         self._steps[-1][1] += amount
 
     def total(self, now_ms: float, extra_steps: int) -> float:
         first = now_ms // self._step_ms - _WINDOW_STEPS + 1 - extra_steps
-        while self._steps and self._steps[0][0] < first:
-            self._steps.popleft()
-        return sum(amount for _, amount in self._steps)
+        return sum(amount for index, amount in self._steps if index >= first)
+
+    def sustained_total(self, now_ms: float) -> float:
+        """Returns the lower of two totals.
+
+        One is that of the current window, the other that of the window half a
+        length before.
+        """
+        last = now_ms // self._step_ms - _WINDOW_STEPS // 2
+        first = last - _WINDOW_STEPS + 1
+        earlier = sum(
+            amount for index, amount in self._steps if first <= index <= last
+        )
+        return min(earlier, self.total(now_ms, 0))
 
     def recent_total(self, now_ms: float, step_count: int) -> float:
         first = now_ms // self._step_ms - step_count + 1
@@ -125,9 +144,9 @@
         """
         for service, amount in candidate.expected_runs.items():
             share = USED_SHARE * self._budget_share(candidate, service, now_ms)
-            first_attempts = self._counter(self._first_attempts, service).total(
-                now_ms, 0
-            )
+            first_attempts = self._counter(
+                self._first_attempts, service
+            ).sustained_total(now_ms)
             # One more step, since the window covers the oldest step in part.
             used = self._counter(self._retries, service).total(now_ms, 1)
             allowed = (
