Shed expensive requests earlier than cheap ones of the same rank

A view takes its slots for 640 ms, a catalogue read for 4 x 40 ms, and both have rank 2: each view let in costs four reads.

Change: responses carry the time for which they occupied slots of each service. Each daemon compares the mean of a route with that of its rank at the service that limits it, and raises the hash part of the priority to that power. The rank is never changed, and no route is shed altogether before the others.

--- a/mimosahaven/mesh/frames.py
+++ b/mimosahaven/mesh/frames.py
@@ -120,6 +120,7 @@
       more: Whether Data frames follow.
       load: Load of the target.
       tree: Runs at each service that the request required, itself included.
+      slot_ms: Time in ms for which these runs occupied slots of each service.
     """
 
     status: int
@@ -129,6 +130,7 @@
     more: bool
     load: Load
     tree: dict[str, float]
+    slot_ms: dict[str, float] = msgspec.field(default_factory=dict)
 
 
 class Data(_Frame):
--- a/mimosahaven/mesh/inflight.py
+++ b/mimosahaven/mesh/inflight.py
@@ -19,6 +19,7 @@
       is_retry: Whether this request or one of its ancestors was sent before.
       tree: Number of runs at each service caused by its calls so far; 0 for a
         service that was called but has not completed a run.
+      slot_ms: Time in ms for which these runs occupied slots of each service.
     """
 
     attempt_id: str
@@ -27,15 +28,20 @@
     deadline_ms: float
     is_retry: bool
     tree: dict[str, float] = dataclasses.field(default_factory=dict)
+    slot_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def record_call(self, service: str) -> None:
         """Records that a service is called, whatever the outcome."""
         self.tree.setdefault(service, 0.0)
 
-    def add_runs(self, tree: dict[str, float]) -> None:
-        """Adds the runs caused by one call."""
+    def add_runs(
+        self, tree: dict[str, float], slot_ms: dict[str, float]
+    ) -> None:
+        """Adds the runs caused by one call, and the slot time they took."""
         for service, runs in tree.items():
             self.tree[service] = self.tree.get(service, 0.0) + runs
+        for service, time_ms in slot_ms.items():
+            self.slot_ms[service] = self.slot_ms.get(service, 0.0) + time_ms
 
 
 class InFlightRequests:
--- a/mimosahaven/mesh/outbound.py
+++ b/mimosahaven/mesh/outbound.py
@@ -10,6 +10,7 @@
 from mimosahaven.mesh import announcements
 from mimosahaven.mesh import callerserver
 from mimosahaven.mesh import calltreecosts
+from mimosahaven.mesh import costpriority
 from mimosahaven.mesh import durations
 from mimosahaven.mesh import eventlog
 from mimosahaven.mesh import frames
@@ -87,6 +88,9 @@
             settings.headers, runner.in_flight
         )
         self._costs = calltreecosts.CallTreeCosts()
+        self._cost_priority = costpriority.CostPriority()
+        # For each route, the service that has shed its requests last.
+        self._limiting_services: dict[str, str] = {}
         self._announcements = announcements.PassedOnAnnouncements(
             settings.headers, replica.mark_leaving
         )
@@ -137,9 +141,11 @@
             self._log_refused(request, Code.LEAVING)
             return self.refuse(Code.LEAVING)
         self._budget.record_first_attempt(context.service, request.read_ms)
-        if context.parent is None and self._should_shed(context):
-            self._log_shed(context)
-            return self.refuse(Code.SHED_AT_ENTRY)
+        if context.parent is None:
+            context = self._adjust_priority(context)
+            if self._should_shed(context):
+                self._log_shed(context)
+                return self.refuse(Code.SHED_AT_ENTRY)
         timeout_ms = (
             context.deadline_ms - clock.monotonic_ms() + OUTCOME_GRACE_MS
         )
@@ -156,6 +162,29 @@
             )
             return self.refuse(Code.TIMEOUT)
 
+    def _adjust_priority(
+        self, context: context_lib.RequestContext
+    ) -> context_lib.RequestContext:
+        """Adjusts the priority of a root request to what it costs."""
+        route = context.route
+        limiting = self._thresholds.highest_service(
+            context.service, route.name, context.request.read_ms
+        )
+        if limiting is not None:
+            self._limiting_services[route.name] = limiting
+        limiting = self._limiting_services.get(route.name)
+        if limiting is None:
+            return context
+        slot_ms = self._costs.expected_slot_ms(
+            route.name, context.service, limiting
+        )
+        if not slot_ms:
+            return context
+        cost = costpriority.RequestCost(route.rank, limiting, slot_ms)
+        return context._replace(
+            priority=self._cost_priority.adjust(context.priority, cost)
+        )
+
     def _should_shed(self, context: context_lib.RequestContext) -> bool:
         now_ms = context.request.read_ms
         return self._thresholds.should_shed(
@@ -363,9 +392,11 @@
         duration_ms = now_ms - context.request.read_ms
         self._durations.record(context.route.name, duration_ms)
         if stream.status < 300:
-            self._costs.record(context.route.name, context.service, stream.tree)
+            self._costs.record(
+                context.route.name, context.service, stream.tree, stream.slot_ms
+            )
         if context.parent is not None:
-            context.parent.add_runs(stream.tree)
+            context.parent.add_runs(stream.tree, stream.slot_ms)
         else:
             record_services = self._thresholds.record_services_needed
             if stream.status < 300:
--- a/mimosahaven/mesh/peerpool.py
+++ b/mimosahaven/mesh/peerpool.py
@@ -324,6 +324,7 @@
     stream = responsestream.ResponseStream()
     stream.set_head(frame.status, frame.reason, frame.headers)
     stream.tree = frame.tree
+    stream.slot_ms = frame.slot_ms
     stream.feed(frame.body)
     if frame.more:
         connection.stream_body(stream)
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -196,6 +196,7 @@
                 not complete,
                 load,
                 stream.tree,
+                stream.slot_ms,
             )
         )
         if complete:
--- a/mimosahaven/mesh/responsestream.py
+++ b/mimosahaven/mesh/responsestream.py
@@ -24,6 +24,7 @@
       complete: Whether the body has arrived in full.
       failure: Result code if the response has failed, or None.
       tree: Number of runs at each service that were needed for the response.
+      slot_ms: Time in ms for which they occupied slots of each service.
       on_pause: Called with True to pause the sender and False to resume it.
       on_cancel: Called if the rest of the response is no longer needed.
       on_end: Called once when the stream has ended, in this order.
@@ -41,6 +42,7 @@
         "on_pause",
         "reason",
         "status",
+        "slot_ms",
         "tree",
         "complete",
     )
@@ -53,6 +55,7 @@
         self.complete = False
         self.failure: codes.Code | None = None
         self.tree: dict[str, float] = {}
+        self.slot_ms: dict[str, float] = {}
         self.on_pause: Callable[[bool], None] | None = None
         self.on_cancel: Callable[[], None] | None = None
         self.on_end: list[Callable[[], None]] = []
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -288,9 +288,9 @@
             outcome = self._classify_response(run, stream)
             if isinstance(outcome, outcomes.Answered):
                 service_ms = clock.monotonic_ms() - started_ms
-                stream.tree = {self._settings.service: 1.0}
-                for service, runs in parent.tree.items():
-                    stream.tree[service] = stream.tree.get(service, 0) + runs
+                service = self._settings.service
+                parent.add_runs({service: 1.0}, {service: round(service_ms)})
+                stream.tree, stream.slot_ms = parent.tree, parent.slot_ms
                 if not stream.ended:
                     streaming = True
                     # A streamed response occupies its slot until its last byte.
--- a/mimosahaven/shedding.py
+++ b/mimosahaven/shedding.py
@@ -277,6 +277,28 @@
             ),
         ]
 
+    def highest_service(
+        self, first_service: str, kind: str, now_ms: float
+    ) -> str | None:
+        """Returns the service of a call with the highest threshold in force.
+
+        Args:
+          first_service: Service that the caller requests.
+          kind: Kind of the request.
+          now_ms: Current time.
+
+        Returns:
+          The service, or None if no service that the call uses sheds.
+        """
+        highest, highest_threshold = None, 0
+        for service in self.services_used(first_service, kind):
+            report = self._reports.get(service)
+            if report is None or report.threshold <= highest_threshold:
+                continue
+            if now_ms - report.valid_at_ms < self._settings.expiry_ms:
+                highest, highest_threshold = service, report.threshold
+        return highest
+
     def shedding_service(
         self, first_service: str, kind: str, priority: int, now_ms: float
     ) -> tuple[str, int, float]:
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -311,7 +311,9 @@
             async with fleet_lib.Fleet(["katalog"] * 2, handlers) as fleet:
                 # More runs than the slack allows at the nested service.
                 tree = {"katalog": 1.0, "presse": 500.0}
-                fleet.daemons[0].outbound._costs.record("r", "katalog", tree)
+                fleet.daemons[0].outbound._costs.record(
+                    "r", "katalog", tree, {}
+                )
                 status, _, _ = await fleet.send_request()
                 self.assertEqual(502, status)
                 sent = sum(len(target.requests) for target in fleet.targets)
--- a/tests/mesh/test_frames.py
+++ b/tests/mesh/test_frames.py
@@ -1,4 +1,5 @@
 import hypothesis
+import msgspec
 import testtools
 from hypothesis import strategies
 
@@ -44,11 +45,22 @@
 
     def test_load_and_call_tree_round_trip(self):
         load = samples.load(thresholds={"presse": (70, 3.5)})
-        answer = frames.Answer(200, b"OK", [], b"x", False, load, {"a": 1.0})
+        answer = frames.Answer(
+            200, b"OK", [], b"x", False, load, {"a": 1.0}, {"a": 40.0}
+        )
         self.assertEqual(
             [answer], frames.FrameDecoder().feed(frames.encode(answer))
         )
 
+    def test_an_answer_of_a_daemon_without_slot_times_is_accepted(self):
+        # Daemons of two versions run side by side during an update.
+        load = samples.load()
+        fields = ["Answer", 200, b"OK", [], b"x", False, load, {"a": 1.0}]
+        body = msgspec.msgpack.encode(fields)
+        data = len(body).to_bytes(4, "big") + body
+        (answer,) = frames.FrameDecoder().feed(data)
+        self.assertEqual({}, answer.slot_ms)
+
     def test_invalid_data_is_an_error(self):
         for data in (b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\1\xc1"):
             decoder = frames.FrameDecoder()
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -136,6 +136,18 @@
             thresholds.record_services_used("katalog", "print", [])
         self.assertEqual(self.shed_count(thresholds, "print", "katalog"), 0)
 
+    def test_the_highest_threshold_in_force_names_its_service(self):
+        thresholds = self.make_map()
+        thresholds.record_services_used("katalog", "k", ["ordre", "presse"])
+        thresholds.update("presse", 200, 0.0, 0.0)
+        thresholds.update("proof", 900, 0.0, 0.0)
+        highest = thresholds.highest_service
+        self.assertEqual("presse", highest("katalog", "k", 500.0))
+        self.assertEqual("ordre", highest("ordre", "other", 500.0))
+        self.assertIsNone(highest("katalog", "k", 1_500.0))
+        thresholds.update("presse", 0, 0.0, 600.0)
+        self.assertEqual("ordre", highest("katalog", "k", 600.0))
+
     def test_failed_calls_show_which_services_they_need(self):
         # If all daemons start without profiles while a deep service is
         # overloaded, no call succeeds until some are shed at the entry.
