Lower the shed threshold only when the last change has taken effect

Requests let in by a lower threshold reach this service some 300 ms later; the threshold is lowered every 150 ms.

Change: it is lowered only once the mean age of arriving requests has passed since its last change.

--- a/mimosahaven/mesh/admission.py
+++ b/mimosahaven/mesh/admission.py
@@ -42,6 +42,8 @@
 # Share of the excess load that one window removes. Calls admitted earlier keep
 # reaching the target for some windows, so that a full correction overshoots.
 CORRECTION_SHARE = 0.6
+# Weight of one run in the mean age of root requests.
+ROOT_AGE_WEIGHT = 0.02
 # Longer than any request lives, so that one unit of weight outranks any age.
 ROOT_AGE_MAX_MS = 1e9
 # Queue capacity as a multiple of the limit; beyond it, the runs with the lowest
@@ -102,6 +104,11 @@
         self._window = loadstats.LoadWindow(now_ms)
         self._updated_ms = now_ms
         self._finished_ms = now_ms
+        # Mean age of root requests when their runs arrive. Requests are shed at
+        # their origin, so that a new threshold takes effect here only after
+        # this time.
+        self._root_age_ms = 0.0
+        self._threshold_changed_ms = now_ms
         self.set_slots(slots)
 
     def set_slots(self, slots: int) -> None:
@@ -182,6 +189,8 @@
             return decisions
         self._threshold.record(request.shed_priority)
         self._window.accepted += 1
+        root_age_ms = now_ms - request.root_ms
+        self._root_age_ms += ROOT_AGE_WEIGHT * (root_age_ms - self._root_age_ms)
         self._queue.add(request)
         self._dispatch(decisions, now_ms, request)
         return decisions
@@ -288,9 +297,14 @@
         if mean_waiting > allowed_waiting or window.queue_refusals:
             share = window.excess_share(mean_waiting - allowed_waiting)
             self._threshold.raise_by(share * CORRECTION_SHARE, None)
+            self._threshold_changed_ms = self._updated_ms
         elif utilization > FULL_UTILIZATION:
             self._threshold.hold()
-        else:
+        elif self._updated_ms - self._threshold_changed_ms >= self._root_age_ms:
+            # The requests that the last change has let in have arrived. Before
+            # that, the target looks idle, and a lower threshold would let in
+            # more than it can serve.
+            self._threshold_changed_ms = self._updated_ms
             free_share = max(0.0, 1.0 - utilization)
             step_min = 0
             if free_share > RECOVERED_FREE_SHARE:
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -1,3 +1,7 @@
+import heapq
+import itertools
+import random
+
 import hypothesis
 import testtools
 from hypothesis import stateful
@@ -283,3 +287,75 @@
 GateMachineTest.settings = hypothesis.settings(
     database=None, derandomize=True, deadline=None, max_examples=60
 )
+
+
+class DelayedArrivalTest(testtools.TestCase):
+    """A service deep in the call graph is overloaded.
+
+    Requests are shed at their origin by its threshold, and those let in reach
+    it 300 ms later. Seen where the threshold of such a service went down and up
+    by more than the load each time, and the queue was full or empty in turn.
+    """
+
+    DELAY_MS = 300.0
+    RUN_MS = 40.0
+    OVERLOAD = 2.5
+    DURATION_MS = 60_000.0
+
+    def serve(self, seed):
+        """Returns the number of runs served; records falls of the threshold."""
+        rng = random.Random(seed)
+        admission = admission_lib.AdmissionController(18, 0.0)
+        self.limit = admission.limit
+        gap_ms = self.RUN_MS / (self.OVERLOAD * admission.limit)
+        running, travelling = [], []
+        served, threshold = 0, 0
+        self.falls_ms = []
+        now_ms = next_ms = 0.0
+
+        def apply(decisions):
+            for _ in decisions.run:
+                heapq.heappush(running, now_ms + self.RUN_MS)
+
+        while now_ms < self.DURATION_MS:
+            now_ms = min([next_ms, *running[:1], *travelling[:1]])
+            if running and running[0] == now_ms:
+                heapq.heappop(running)
+                served += 1
+                apply(admission.finish(self.RUN_MS, now_ms))
+            elif travelling and travelling[0] == now_ms:
+                heapq.heappop(travelling)
+                root_ms = now_ms - self.DELAY_MS
+                value = identity.priority(98, repr(root_ms))
+                request = admission_lib.AdmissionRequest(
+                    value, root_ms + 1_500.0, root_ms
+                )
+                apply(admission.offer(request, now_ms))
+            else:
+                next_ms += rng.expovariate(1 / gap_ms)
+                arrival_ms = now_ms + self.DELAY_MS
+                value = identity.priority(98, repr(arrival_ms - self.DELAY_MS))
+                if value >= admission.threshold:
+                    heapq.heappush(travelling, arrival_ms)
+            if admission.threshold < threshold:
+                self.falls_ms.append(now_ms)
+            threshold = admission.threshold
+        return served
+
+    def test_the_threshold_falls_no_faster_than_its_effect_is_seen(self):
+        for seed in range(3):
+            self.serve(seed)
+            # The mean age of requests needs some runs to settle.
+            falls_ms = [t for t in self.falls_ms if t > 10_000.0]
+            self.assertThat(len(falls_ms), matchers.GreaterThan(10))
+            for earlier_ms, later_ms in itertools.pairwise(falls_ms):
+                self.assertThat(
+                    later_ms - earlier_ms,
+                    matchers.GreaterThan(0.99 * self.DELAY_MS),
+                )
+
+    def test_the_service_stays_in_use(self):
+        for seed in range(3):
+            served = self.serve(seed)
+            capacity = self.limit * self.DURATION_MS / self.RUN_MS
+            self.assertThat(served, matchers.GreaterThan(0.9 * capacity))
