--- a/mimosahaven/mesh/loadbalancer.py
+++ b/mimosahaven/mesh/loadbalancer.py
@@ -51,9 +51,6 @@
 # Random spread of scores, so that daemons with the same reports do not all
 # choose the same target.
 JITTER_SHARE = 0.15
-# Currently unused. Longest time for which an unreachable peer is avoided
-# without a successful ping.
-UNREACHABLE_MAX_MS = 10_000.0
 
 
 @dataclasses.dataclass(slots=True)
