--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -184,16 +184,21 @@
 
 @register
 async def bad_target(harness, vm, duration_s):
-    """Makes a target drop, truncate or duplicate responses, or run slowly."""
+    """Makes a target lose, repeat or refuse responses, or run slowly.
+
+    With the largest factor, work lasts until about the deadline.
+    """
     target = harness.targets[vm]
     if target is None:
         return
     target.drop_share = harness.rng.choice((0.0, 0.2))
     target.truncate_share = harness.rng.choice((0.0, 0.1))
     target.duplicate_share = harness.rng.choice((0.0, 0.2))
-    target.slow_factor = harness.rng.choice((1.0, 8.0))
+    target.refuse_share = target.copy_share = harness.rng.choice((0.0, 0.4))
+    target.slow_factor = harness.rng.choice((1.0, 8.0, 80.0))
     await asyncio.sleep(duration_s)
     target.drop_share = target.truncate_share = target.duplicate_share = 0.0
+    target.refuse_share = target.copy_share = 0.0
     target.slow_factor = 1.0
 
 
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 import time
+import weakref
 
 from tests.mesh import rawtarget
 from tests.soak import observations as observations_lib
@@ -85,6 +86,9 @@
       drop_share: Share of responses that are dropped after the run.
       truncate_share: Share of responses that are truncated.
       duplicate_share: Share of responses that are sent twice.
+      refuse_share: Share of requests that are refused.
+      copy_share: Share of runs during which the last refusal on the same
+        connection is sent once more.
       slow_factor: Factor by which runs take longer than usual.
       rate_limit: Rate limit that it announces, or None.
       leaving: Whether it announces that it leaves.
@@ -108,6 +112,7 @@
         self.write_count = 0
         self.state = ""
         self.drop_share = self.truncate_share = self.duplicate_share = 0.0
+        self.refuse_share = self.copy_share = 0.0
         self.slow_factor = 1.0
         self.rate_limit: observations_lib.RateLimit | None = None
         self.leaving = False
@@ -117,6 +122,9 @@
         self._call_count = 0
         self._server = rawtarget.RawTarget(self._serve)
         self._writers: set[asyncio.StreamWriter] = set()
+        self._refused_ids: weakref.WeakKeyDictionary[
+            asyncio.StreamWriter, str
+        ] = weakref.WeakKeyDictionary()
 
     async def start(self) -> None:
         """Starts listening."""
@@ -151,7 +159,8 @@
         if intended_id != self.target_id:
             await self._respond(writer, attempt_id, 421, b"", NOT_RUN_HEADER)
             return
-        if self._running >= SLOTS:
+        if self._running >= SLOTS or self._rng.random() < self.refuse_share:
+            self._refused_ids[writer] = attempt_id
             await self._respond(writer, attempt_id, 503, b"", NOT_RUN_HEADER)
             return
         self._running += 1
@@ -174,6 +183,9 @@
                 time.monotonic(),
             )
         )
+        refused_id = self._refused_ids.get(writer)
+        if refused_id and self._rng.random() < self.copy_share:
+            await self._respond(writer, refused_id, 503, b"", NOT_RUN_HEADER)
         kind = next(k for k in KINDS.values() if path.startswith(k.prefix))
         work_factor = self._rng.uniform(0.5, 2.0) * self.slow_factor
         await asyncio.sleep(kind.work_ms * work_factor / 1000)
