--- a/mimosahaven/mesh/costpriority.py
+++ b/mimosahaven/mesh/costpriority.py
@@ -9,6 +9,9 @@
 import dataclasses
 
 from mimosahaven import identity
+from mimosahaven import shedding
+from mimosahaven.mesh import calltreecosts
+from mimosahaven.mesh import records
 
 # Weight of one request in the mean cost of its rank.
 SMOOTHING = 0.02
@@ -63,3 +66,46 @@
             * (part / identity.WEIGHT_STEP) ** relative
         )
         return weight * identity.WEIGHT_STEP + part
+
+
+class RoutePriorities:
+    """Adjusts the priorities of root requests by the costs of their routes.
+
+    Args:
+      thresholds: Shed thresholds, which tell the service that limits a route.
+      costs: Costs of the routes.
+    """
+
+    def __init__(
+        self,
+        thresholds: shedding.ThresholdMap,
+        costs: calltreecosts.CallTreeCosts,
+    ):
+        self._thresholds = thresholds
+        self._costs = costs
+        self._order = CostPriority()
+        # For each route, the service that has limited it last.
+        self._limiting_services: dict[str, str] = {}
+
+    def adjust(
+        self, priority: int, route: records.Route, service: str, now_ms: float
+    ) -> int:
+        """Returns the shedding priority of a root request, adjusted to cost.
+
+        Args:
+          priority: Shedding priority from the rank and a hash of the request.
+          route: Route of the request.
+          service: Service that runs it.
+          now_ms: Current time.
+        """
+        limiting = self._thresholds.highest_service(service, route.name, now_ms)
+        if limiting is None:
+            limiting = self._limiting_services.get(route.name)
+            if limiting is None:
+                return priority
+        self._limiting_services[route.name] = limiting
+        slot_ms = self._costs.expected_slot_ms(route.name, service, limiting)
+        if not slot_ms:
+            return priority
+        cost = RequestCost(route.rank, limiting, slot_ms)
+        return self._order.adjust(priority, cost)
--- a/mimosahaven/mesh/outbound.py
+++ b/mimosahaven/mesh/outbound.py
@@ -88,9 +88,9 @@
             settings.headers, runner.in_flight
         )
         self._costs = calltreecosts.CallTreeCosts()
-        self._cost_priority = costpriority.CostPriority()
-        # For each route, the service that has shed its requests last.
-        self._limiting_services: dict[str, str] = {}
+        self._route_priorities = costpriority.RoutePriorities(
+            thresholds, self._costs
+        )
         self._announcements = announcements.PassedOnAnnouncements(
             settings.headers, replica.mark_leaving
         )
@@ -142,7 +142,14 @@
             return self.refuse(Code.LEAVING)
         self._budget.record_first_attempt(context.service, request.read_ms)
         if context.parent is None:
-            context = self._adjust_priority(context)
+            context = context._replace(
+                priority=self._route_priorities.adjust(
+                    context.priority,
+                    context.route,
+                    context.service,
+                    request.read_ms,
+                )
+            )
             if self._should_shed(context):
                 self._log_shed(context)
                 return self.refuse(Code.SHED_AT_ENTRY)
@@ -162,29 +169,6 @@
             )
             return self.refuse(Code.TIMEOUT)
 
-    def _adjust_priority(
-        self, context: context_lib.RequestContext
-    ) -> context_lib.RequestContext:
-        """Adjusts the priority of a root request to what it costs."""
-        route = context.route
-        limiting = self._thresholds.highest_service(
-            context.service, route.name, context.request.read_ms
-        )
-        if limiting is not None:
-            self._limiting_services[route.name] = limiting
-        limiting = self._limiting_services.get(route.name)
-        if limiting is None:
-            return context
-        slot_ms = self._costs.expected_slot_ms(
-            route.name, context.service, limiting
-        )
-        if not slot_ms:
-            return context
-        cost = costpriority.RequestCost(route.rank, limiting, slot_ms)
-        return context._replace(
-            priority=self._cost_priority.adjust(context.priority, cost)
-        )
-
     def _should_shed(self, context: context_lib.RequestContext) -> bool:
         now_ms = context.request.read_ms
         return self._thresholds.should_shed(
--- a/tests/mesh/test_costpriority.py
+++ b/tests/mesh/test_costpriority.py
@@ -4,8 +4,12 @@
 from testtools import matchers
 
 from mimosahaven import identity
+from mimosahaven import shedding
 from mimosahaven.mesh import admission
+from mimosahaven.mesh import calltreecosts
 from mimosahaven.mesh import costpriority
+from tests import targetsim
+from tests.mesh import samples
 
 SLOTS = 18
 CHEAP_MS = 160.0
@@ -99,6 +103,39 @@
             self.assertThat(expensive, matchers.GreaterThan(cheap / 4))
 
 
+class RoutePrioritiesTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        settings = targetsim.make_settings()
+        self.thresholds = shedding.ThresholdMap(settings)
+        costs = calltreecosts.CallTreeCosts()
+        self.routes = [samples.route("read"), samples.route("view")]
+        for route, slot_ms in zip(self.routes, (160.0, 640.0), strict=True):
+            self.thresholds.record_services_used("a", route.name, ["faktura"])
+            costs.record(
+                route.name, "a", {"faktura": 1.0}, {"faktura": slot_ms}
+            )
+        self.priorities = costpriority.RoutePriorities(self.thresholds, costs)
+
+    def adjust(self, route, now_ms):
+        plain = identity.priority(WEIGHT, "r")
+        return self.priorities.adjust(plain, route, "a", now_ms) - plain
+
+    def test_without_a_limiting_service_the_hash_decides(self):
+        for route in self.routes * 10:
+            self.assertEqual(0, self.adjust(route, 0.0))
+
+    def test_cost_at_the_limiting_service_decides_from_then_on(self):
+        self.thresholds.update("faktura", WEIGHT, 0.0, 0.0)
+        for now_ms in (0.0, 60_000.0):
+            for _ in range(100):
+                cheap, expensive = (
+                    self.adjust(route, now_ms) for route in self.routes
+                )
+            self.assertThat(cheap, matchers.GreaterThan(0))
+            self.assertThat(expensive, matchers.LessThan(0))
+
+
 class CostPriorityTest(testtools.TestCase):
     def adjust_all(self, order, slot_ms):
         rng = random.Random(5)
