Answer pipelined requests and finish streams before a planned stop closes

What callers see: in a planned stop, the first response on a connection with pipelined requests closes it. Requests behind it that have been passed on are cancelled at their target, and responses that are ready already are dropped. A response that is being streamed from another daemon, or to one, is cut 300 ms after the last run, also in the middle of the grace period.

Cause: the response that closes was the next one, not the last one, and the drain waited for requests and runs, not for their responses.

Change: only the last response on a connection closes it; behind a streamed response whose head says so, nothing further is read. The drain also waits for responses that callers or other daemons still receive, until the end of the grace period.

--- a/mimosahaven/mesh/callerserver.py
+++ b/mimosahaven/mesh/callerserver.py
@@ -131,6 +131,13 @@
         """Whether a request is being read or served."""
         return bool(self._exchanges) or self._in_message or self._writing
 
+    @property
+    def has_unsent_response(self) -> bool:
+        """Whether a request has no complete response yet, or it is unsent."""
+        if self._lost:
+            return False
+        return bool(self._exchanges or self._transport.get_write_buffer_size())
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport and reports the connection to the handler."""
         self._transport = transport
@@ -185,15 +192,14 @@
     def end_exchanges(self) -> None:
         """Ends the requests that have no response yet; then closes.
 
-        Each of them may have run. Requests behind the first one get none: it
-        closes the connection, by which their callers know that they were not
-        read.
+        Each of them may have run.
         """
         for exchange in self._exchanges:
             if exchange.response is None:
                 exchange.task.cancel()
                 exchange.response = self._handler.refuse(Code.TIMEOUT)
-                exchange.close = True
+        if self._exchanges:
+            self._exchanges[-1].close = True
         self._write_ready()
 
     def close_if_idle(self) -> None:
@@ -307,6 +313,13 @@
                     self._write_stream(exchange)
                 )
 
+    def _should_close(self) -> bool:
+        """Returns whether the first response closes the connection.
+
+        Requests behind it may have been passed on, and are answered first.
+        """
+        return self._handler.should_close() and len(self._exchanges) == 1
+
     def _write_buffered(self, exchange: _Exchange) -> None:
         response = exchange.response
         stream = response.stream
@@ -319,7 +332,7 @@
         else:
             status, reason = stream.status, stream.reason
             headers, body = stream.headers, bytes(stream.body)
-        exchange.close |= self._handler.should_close()
+        exchange.close |= self._should_close()
         head = http1.encode_response_head(
             status, reason, headers, len(body), exchange.close
         )
@@ -327,7 +340,10 @@
 
     async def _write_stream(self, exchange: _Exchange) -> None:
         stream = exchange.response.stream
-        exchange.close |= self._handler.should_close()
+        if self._should_close():
+            exchange.close = True
+            # The caller learns from the head that nothing further is read.
+            self._closing = True
         self._transport.write(
             http1.encode_response_head(
                 stream.status,
--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -107,6 +107,8 @@
             rng,
         )
         self._caller_connections: set[callerserver.CallerConnection] = set()
+        # Replies to other daemons that are being written.
+        self.peer_reply_count = 0
         self._servers: list[asyncio.Server] = []
         self.term_ms: float | None = None
         self.last_request_ms = now_ms
@@ -296,6 +298,14 @@
         """Number of requests of callers and of runs in progress."""
         return self.outbound.in_flight_count + self.admission.running
 
+    @property
+    def has_unsent_responses(self) -> bool:
+        """Whether a caller or another daemon still receives a response."""
+        return self.peer_reply_count > 0 or any(
+            connection.has_unsent_response
+            for connection in self._caller_connections
+        )
+
     def _check_pause(self, now_ms: float) -> None:
         if self.pause_detector.check_for_pause(now_ms):
             self.log.event(
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -21,6 +21,7 @@
     runner: runner_lib.Runner
     tasks: tasks_lib.BackgroundTasks
     followers: subscriptions.Followers
+    peer_reply_count: int
 
     def run_refusal_code(self) -> codes.Code | None:
         """Returns the code with which a run is refused, or None."""
@@ -169,6 +170,13 @@
         )
 
     async def _reply(self, outcome: outcomes.Outcome) -> None:
+        self._handler.peer_reply_count += 1
+        try:
+            await self._write_outcome(outcome)
+        finally:
+            self._handler.peer_reply_count -= 1
+
+    async def _write_outcome(self, outcome: outcomes.Outcome) -> None:
         load = self._handler.load()
         match outcome:
             case outcomes.Refused():
--- a/mimosahaven/mesh/shutdown.py
+++ b/mimosahaven/mesh/shutdown.py
@@ -46,7 +46,9 @@
             daemon.outbound.draining = True
             daemon.close_idle_connections()
             is_idle = now_ms - daemon.last_request_ms > DRAIN_IDLE_MS
-            if not daemon.work_count and is_idle:
+            if is_idle and not (
+                daemon.work_count or daemon.has_unsent_responses
+            ):
                 break
         await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
     else:
