Shed important requests only when shedding the others has taken effect

The threshold goes from 98.6 to 100.2 and back every 3 to 4 s. No request has weight 99, so that it takes some steps there that let in nothing: 11 to 14 of 17 slots are in use then, after 35 to 42 waiting runs. Hires are refused meanwhile.

--- a/mimosahaven/mesh/admission.py
+++ b/mimosahaven/mesh/admission.py
@@ -16,8 +16,8 @@
 from mimosahaven import codes
 from mimosahaven import identity
 from mimosahaven import loadstats
-from mimosahaven import shedding
 from mimosahaven.mesh import ratelimit
+from mimosahaven.mesh import thresholdcontrol
 
 Code = codes.Code
 
@@ -35,15 +35,6 @@
 WAIT_TARGET_MS = 25.0
 # Below this utilization of the limit, the target has spare capacity.
 FULL_UTILIZATION = 0.9
-# With a larger share of the limit unused, the cause of the overload has ended,
-# and the threshold falls by at least that share of one unit of weight per
-# window. Smaller steps would leave a recovered target half idle for seconds.
-RECOVERED_FREE_SHARE = 0.3
-# Share of the excess load that one window removes. Calls admitted earlier keep
-# reaching the target for some windows, so that a full correction overshoots.
-CORRECTION_SHARE = 0.6
-# Weight of one run in the mean age of root requests.
-ROOT_AGE_WEIGHT = 0.02
 # Longer than any request lives, so that one unit of weight outranks any age.
 ROOT_AGE_MAX_MS = 1e9
 # Queue capacity as a multiple of the limit; beyond it, the runs with the lowest
@@ -100,15 +91,10 @@
         self._rate_limiter = ratelimit.TargetRateLimiter()
         self._queue = admissionqueue.AdmissionQueue()
         self._service_time = loadstats.ServiceTimeEstimate()
-        self._threshold = shedding.ShedThreshold()
+        self._threshold = thresholdcontrol.ThresholdController(now_ms)
         self._window = loadstats.LoadWindow(now_ms)
         self._updated_ms = now_ms
         self._finished_ms = now_ms
-        # Mean age of root requests when their runs arrive. Requests are shed at
-        # their origin, so that a new threshold takes effect here only after
-        # this time.
-        self._root_age_ms = 0.0
-        self._threshold_changed_ms = now_ms
         self.set_slots(slots)
 
     def set_slots(self, slots: int) -> None:
@@ -187,10 +173,8 @@
         if request.deadline_ms - now_ms <= self._service_time.expected_ms:
             decisions.refused.append((request, Code.DEADLINE_BEFORE_RUN))
             return decisions
-        self._threshold.record(request.shed_priority)
+        self._threshold.record(request.shed_priority, now_ms - request.root_ms)
         self._window.accepted += 1
-        root_age_ms = now_ms - request.root_ms
-        self._root_age_ms += ROOT_AGE_WEIGHT * (root_age_ms - self._root_age_ms)
         self._queue.add(request)
         self._dispatch(decisions, now_ms, request)
         return decisions
@@ -295,18 +279,17 @@
         # Little's law: mean queue length = throughput * waiting time.
         allowed_waiting = wait_target_ms * max(1, window.served) / elapsed_ms
         if mean_waiting > allowed_waiting or window.queue_refusals:
-            share = window.excess_share(mean_waiting - allowed_waiting)
-            self._threshold.raise_by(share * CORRECTION_SHARE, None)
-            self._threshold_changed_ms = self._updated_ms
+            # The queue drains only when a change has taken effect; until then,
+            # each window would correct for it again.
+            effect_windows = max(
+                1.0, self._threshold.effect_delay_ms / elapsed_ms
+            )
+            excess_waiting = max(0.0, mean_waiting - allowed_waiting)
+            self._threshold.raise_by(
+                window.excess_share(excess_waiting / effect_windows),
+                self._updated_ms,
+            )
         elif utilization > FULL_UTILIZATION:
             self._threshold.hold()
-        elif self._updated_ms - self._threshold_changed_ms >= self._root_age_ms:
-            # The requests that the last change has let in have arrived. Before
-            # that, the target looks idle, and a lower threshold would let in
-            # more than it can serve.
-            self._threshold_changed_ms = self._updated_ms
-            free_share = max(0.0, 1.0 - utilization)
-            step_min = 0
-            if free_share > RECOVERED_FREE_SHARE:
-                step_min = int(identity.WEIGHT_STEP * free_share)
-            self._threshold.lower(free_share, step_min)
+        else:
+            self._threshold.lower(max(0.0, 1.0 - utilization), self._updated_ms)
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -1,6 +1,8 @@
+import collections
 import heapq
 import itertools
 import random
+import typing
 
 import hypothesis
 import testtools
@@ -289,73 +291,141 @@
 )
 
 
-class DelayedArrivalTest(testtools.TestCase):
-    """A service deep in the call graph is overloaded.
+class DelayedArrivalSimulation:
+    """A service deep in the call graph that is overloaded.
 
     Requests are shed at their origin by its threshold, and those let in reach
-    it 300 ms later. Seen where the threshold of such a service went down and up
-    by more than the load each time, and the queue was full or empty in turn.
+    it 300 ms later.
+
+    Args:
+      seed: Seed of the arrivals.
+      rates: Arrivals of each weight, as a multiple of the capacity.
+      duration_ms: Simulated time.
+
+    Attributes:
+      capacity: Runs that the service could complete.
+      served: Runs that it has completed.
+      sent: Requests of each weight.
+      shed_at_origin: Requests of each weight that were shed.
+      falls_ms: Times at which the threshold fell.
     """
 
     DELAY_MS = 300.0
     RUN_MS = 40.0
-    OVERLOAD = 2.5
-    DURATION_MS = 60_000.0
-
-    def serve(self, seed):
-        """Returns the number of runs served; records falls of the threshold."""
-        rng = random.Random(seed)
-        admission = admission_lib.AdmissionController(18, 0.0)
-        self.limit = admission.limit
-        gap_ms = self.RUN_MS / (self.OVERLOAD * admission.limit)
-        running, travelling = [], []
-        served, threshold = 0, 0
+
+    def __init__(self, seed, rates, duration_ms=60_000.0):
+        self._duration_ms = duration_ms
+        self._rng = random.Random(seed)
+        self._rates = rates
+        self._admission = admission_lib.AdmissionController(18, 0.0)
+        self._running, self._travelling = [], []
+        self._now_ms = 0.0
+        self._capacity_per_ms = self._admission.limit / self.RUN_MS
+        self.capacity = self._capacity_per_ms * duration_ms
+        self.served = 0
+        self.sent = collections.Counter()
+        self.shed_at_origin = collections.Counter()
         self.falls_ms = []
-        now_ms = next_ms = 0.0
-
-        def apply(decisions):
-            for _ in decisions.run:
-                heapq.heappush(running, now_ms + self.RUN_MS)
-
-        while now_ms < self.DURATION_MS:
-            now_ms = min([next_ms, *running[:1], *travelling[:1]])
-            if running and running[0] == now_ms:
-                heapq.heappop(running)
-                served += 1
-                apply(admission.finish(self.RUN_MS, now_ms))
-            elif travelling and travelling[0] == now_ms:
-                heapq.heappop(travelling)
-                root_ms = now_ms - self.DELAY_MS
-                value = identity.priority(98, repr(root_ms))
-                request = admission_lib.AdmissionRequest(
-                    value, root_ms + 1_500.0, root_ms
-                )
-                apply(admission.offer(request, now_ms))
+
+    def run(self):
+        gap_ms = 1 / (self._capacity_per_ms * sum(self._rates.values()))
+        next_ms = threshold = 0
+        while self._now_ms < self._duration_ms:
+            self._now_ms = min(
+                [next_ms, *self._running[:1], *self._travelling[:1]]
+            )
+            if self._running and self._running[0] == self._now_ms:
+                heapq.heappop(self._running)
+                self.served += 1
+                self._apply(self._admission.finish(self.RUN_MS, self._now_ms))
+            elif self._travelling and self._travelling[0] == self._now_ms:
+                heapq.heappop(self._travelling)
+                self._arrive(self._now_ms - self.DELAY_MS)
             else:
-                next_ms += rng.expovariate(1 / gap_ms)
-                arrival_ms = now_ms + self.DELAY_MS
-                value = identity.priority(98, repr(arrival_ms - self.DELAY_MS))
-                if value >= admission.threshold:
-                    heapq.heappush(travelling, arrival_ms)
-            if admission.threshold < threshold:
-                self.falls_ms.append(now_ms)
-            threshold = admission.threshold
-        return served
+                next_ms += self._rng.expovariate(1 / gap_ms)
+                self._send(self._now_ms)
+            if self._admission.threshold < threshold:
+                self.falls_ms.append(self._now_ms)
+            threshold = self._admission.threshold
+        return self
+
+    def _priority(self, root_ms):
+        """Returns the priority of the request that began at a time."""
+        rng = random.Random(root_ms)
+        (weight,) = rng.choices(list(self._rates), self._rates.values())
+        return identity.priority(weight, repr(root_ms))
+
+    def _send(self, root_ms):
+        # Found again from the time of arrival, as it is rounded there.
+        root_ms = root_ms + self.DELAY_MS - self.DELAY_MS
+        priority = self._priority(root_ms)
+        self.sent[priority // identity.WEIGHT_STEP] += 1
+        if priority >= self._admission.threshold:
+            heapq.heappush(self._travelling, root_ms + self.DELAY_MS)
+        else:
+            self.shed_at_origin[priority // identity.WEIGHT_STEP] += 1
+
+    def _arrive(self, root_ms):
+        request = admission_lib.AdmissionRequest(
+            self._priority(root_ms), root_ms + 1_500.0, root_ms
+        )
+        self._apply(self._admission.offer(request, self._now_ms))
+
+    def _apply(self, decisions):
+        for _ in decisions.run:
+            heapq.heappush(self._running, self._now_ms + self.RUN_MS)
+
+
+class DelayedArrivalTest(testtools.TestCase):
+    """The threshold of a deep service went down and up by more than the load.
+
+    Its queue was full or empty in turn.
+    """
+
+    RATES: typing.ClassVar = {98: 2.5}
 
     def test_the_threshold_falls_no_faster_than_its_effect_is_seen(self):
         for seed in range(3):
-            self.serve(seed)
+            simulation = DelayedArrivalSimulation(seed, self.RATES).run()
             # The mean age of requests needs some runs to settle.
-            falls_ms = [t for t in self.falls_ms if t > 10_000.0]
+            falls_ms = [t for t in simulation.falls_ms if t > 10_000.0]
             self.assertThat(len(falls_ms), matchers.GreaterThan(10))
             for earlier_ms, later_ms in itertools.pairwise(falls_ms):
                 self.assertThat(
                     later_ms - earlier_ms,
-                    matchers.GreaterThan(0.99 * self.DELAY_MS),
+                    matchers.GreaterThan(0.99 * simulation.DELAY_MS),
                 )
 
     def test_the_service_stays_in_use(self):
         for seed in range(3):
-            served = self.serve(seed)
-            capacity = self.limit * self.DURATION_MS / self.RUN_MS
-            self.assertThat(served, matchers.GreaterThan(0.9 * capacity))
+            simulation = DelayedArrivalSimulation(seed, self.RATES).run()
+            self.assertThat(
+                simulation.served,
+                matchers.GreaterThan(0.9 * simulation.capacity),
+            )
+
+
+class ImportantRequestsTest(testtools.TestCase):
+    """The most important requests nearly fill a service, others exceed it.
+
+    No request has the weight between the two ranks. Seen where the threshold
+    went up and down through that weight: the service was idle in part, and
+    important requests were shed in turn (incident inc-6a74). The bounds are the
+    goals of docs/design.md for an offered load of three times the capacity.
+    """
+
+    RATES: typing.ClassVar = {98: 2.1, 100: 0.9}
+
+    def test_goodput(self):
+        sent, shed = 0, 0
+        for seed in range(6):
+            simulation = DelayedArrivalSimulation(
+                seed, self.RATES, 20_000.0
+            ).run()
+            self.assertThat(
+                simulation.served,
+                matchers.GreaterThan(0.9 * simulation.capacity),
+            )
+            sent += simulation.sent[100]
+            shed += simulation.shed_at_origin[100]
+        self.assertThat(shed, matchers.LessThan(0.01 * sent))
