Let one raise of the threshold shed no more than one weight

Found by reading: a raise that begins at the end of a weight had no ceiling, so that it could pass through the next one into the most important requests at once. It now stops at the end of the next weight in use.

test_one_raise_sheds_no_more_than_one_weight failed before (6,566,707 instead of 6,553,600).

--- a/mimosahaven/mesh/thresholdcontrol.py
+++ b/mimosahaven/mesh/thresholdcontrol.py
@@ -65,12 +65,12 @@
           excess_share: Share of the arrived runs that cannot be served.
           now_ms: Current time.
         """
-        ceiling = self._next_weight_end()
+        ceiling = self._weight_end(self.value)
         if self.value == ceiling:
             if not self._has_effect(now_ms):
                 self._threshold.hold()
                 return
-            ceiling = None
+            ceiling = self._weight_end(self.value + 1)
         self._threshold.raise_by(excess_share * CORRECTION_SHARE, ceiling)
         self._changed_ms = now_ms
 
@@ -102,13 +102,13 @@
     def _has_effect(self, now_ms: float) -> bool:
         return now_ms - self._changed_ms >= self.effect_delay_ms
 
-    def _next_weight_end(self) -> int | None:
-        """Returns the threshold that sheds one more weight completely.
+    def _weight_end(self, threshold: int) -> int | None:
+        """Returns the end of the highest weight that a threshold sheds.
 
-        This is the present one if that sheds some weights completely and no
-        other, and None if it is above all weights.
+        If the threshold is between the weights in use, this is the end of the
+        next higher one; None if there is none.
         """
-        weight = (self.value - 1) // identity.WEIGHT_STEP
+        weight = (threshold - 1) // identity.WEIGHT_STEP
         higher = [known for known in self._weights if known >= weight]
         if not higher:
             return None
--- a/tests/mesh/test_thresholdcontrol.py
+++ b/tests/mesh/test_thresholdcontrol.py
@@ -40,6 +40,14 @@
         self.threshold.raise_by(0.5, 1_000.0 + DELAY_MS)
         self.assertThat(self.threshold.value, matchers.GreaterThan(100 * STEP))
 
+    def test_one_raise_sheds_no_more_than_one_weight(self):
+        self.record_arrivals(lambda part: 99 * STEP + part)
+        self.raise_to_the_end_of_weight_98(1_000.0)
+        for weight in (99, 100):
+            self.record_arrivals(lambda part, w=weight: w * STEP + part)
+        self.threshold.raise_by(1.0, 2_000.0)
+        self.assertEqual(100 * STEP, self.threshold.value)
+
     def test_weights_without_requests_are_skipped(self):
         self.raise_to_the_end_of_weight_98(1_000.0)
         self.record_arrivals(lambda part: 100 * STEP + part)
