Let the soak's callers pipeline requests

One idempotent request in five is now two, the second sent before the response to the first. A planned stop must answer both, unless the second one has not been passed on.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -269,12 +269,16 @@
 
 def _planned_disruptions(observations):
     """Checks that no planned stop or reload interrupted a request."""
+    ran = {run.attempt_id for run in observations.runs}
     for attempt in observations.attempts:
         if attempt.status is not None or attempt.abandoned:
             continue
         if not attempt.ended_s:
             # In progress when the soak ended all processes.
             continue
+        if attempt.pipelined and attempt.attempt_id not in ran:
+            # Its caller sends it again, as it has not been passed on.
+            continue
         if attempt.ended_s - attempt.sent_s < 0.2 and attempt.connection_reused:
             # The daemon may have closed the idle connection before it read the
             # request.
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -18,6 +18,7 @@
       complete: Whether the body was complete and belonged to the request.
       ended_s: When the response was complete or the connection was closed.
       abandoned: Whether the caller closed the connection before a response.
+      pipelined: Whether it was sent behind another one without a response.
     """
 
     attempt_id: str
@@ -30,6 +31,7 @@
     complete: bool = False
     ended_s: float = 0.0
     abandoned: bool = False
+    pipelined: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -126,6 +126,15 @@
         found = violated_rules(attempts=[pending], disruptions=[stop])
         self.assertEqual([], found)
 
+    def test_a_pipelined_request_interrupted_by_a_planned_stop(self):
+        stop = observations_lib.Disruption("term", 0, True, 99.0, 105.0)
+        interrupted = make_attempt(kind="read", status=None, pipelined=True)
+        for runs, rules in ([], []), ([make_run(kind="read")], ["LOST"]):
+            found = violated_rules(
+                attempts=[interrupted], runs=runs, disruptions=[stop]
+            )
+            self.assertEqual(rules, found)
+
     def test_a_request_interrupted_by_a_planned_stop(self):
         stop = observations_lib.Disruption("term", 0, True, 99.0, 105.0)
         interrupted = make_attempt(status=None)
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -15,6 +15,8 @@
 TARGETS_MAX = 2
 SLOTS = 20
 DEADLINE_MS = 2_000
+# Callers pipeline two requests instead of one this often, if they may.
+PIPELINE_ONE_IN = 5
 PROBE_KIND = "probe"
 HOST_HEADER = "soak.example"
 NOT_RUN_HEADER = "Mimosahaven-Not-Run: 1\r\n"
@@ -337,7 +339,10 @@
                 continue
             count += 1
             [name] = self._rng.choices(names, shares)
-            await self.send_attempt(name, f"{self._name}-{count}")
+            attempt_ids = [f"{self._name}-{count}"]
+            if not KINDS[name].at_most_once and not count % PIPELINE_ONE_IN:
+                attempt_ids.append(f"{self._name}-{count}b")
+            await self.send_attempts(name, attempt_ids)
         self._close()
 
     async def run_probes(self) -> None:
@@ -348,42 +353,57 @@
             self._close()
             count += 1
             version = self._harness.observations.tables[-1][1]
-            await self.send_attempt(
+            await self.send_attempts(
                 PROBE_KIND,
-                f"{self._name}-{version}-{count}",
+                [f"{self._name}-{version}-{count}"],
                 f"/probe-{version}/x",
             )
 
-    async def send_attempt(
-        self, name: str, attempt_id: str, path: str = ""
+    async def send_attempts(
+        self, name: str, attempt_ids: list[str], path: str = ""
     ) -> None:
-        """Sends one attempt and records its outcome."""
+        """Sends attempts, pipelined if several, and records their outcomes."""
         kind = KINDS[name]
         if not await self._connect():
             return
         incarnation = self._harness.incarnations[self._vm]
-        observed = observations_lib.CallerAttempt(
-            attempt_id,
-            name,
-            self._vm,
-            0.0,
-            incarnation,
-            self._connection_reused,
-        )
-        self._harness.observations.attempts.append(observed)
         abandons = name == "read" and self._rng.random() < 0.03
         timeout_s = 0.01 if abandons else DEADLINE_MS / 1000 + 0.5
-        try:
+        pending: list[observations_lib.CallerAttempt] = []
+        for attempt_id in attempt_ids:
+            observed = observations_lib.CallerAttempt(
+                attempt_id,
+                name,
+                self._vm,
+                time.monotonic(),
+                incarnation,
+                self._connection_reused,
+                pipelined=bool(pending),
+            )
+            self._harness.observations.attempts.append(observed)
+            pending.append(observed)
             self._writer.write(
                 encode_request(kind, attempt_id, DEADLINE_MS, path)
             )
-            observed.sent_s = time.monotonic()
+        for observed in pending:
+            if self._reader is not None:
+                await self._receive(observed, timeout_s)
+            else:
+                observed.abandoned = pending[0].abandoned
+            observed.ended_s = time.monotonic()
+        if self._reader is not None and self._reader.at_eof():
+            self._close()
+
+    async def _receive(
+        self, observed: observations_lib.CallerAttempt, timeout_s: float
+    ) -> None:
+        try:
             async with asyncio.timeout(timeout_s):
                 head, body = await read_response(self._reader)
             observed.status = head["status"]
             record_announcement(self._harness.observations, self._vm, head)
             observed.complete = body == response_body(
-                attempt_id, kind.response_bytes
+                observed.attempt_id, KINDS[observed.kind].response_bytes
             )
             self._connection_reused = True
         except TimeoutError:
@@ -391,9 +411,6 @@
             self._close()
         except (OSError, asyncio.IncompleteReadError, ValueError):
             self._close()
-        observed.ended_s = time.monotonic()
-        if self._reader is not None and self._reader.at_eof():
-            self._close()
 
     async def _connect(self) -> bool:
         if self._writer is not None:
