--- a/mimosahaven/admissionqueue.py
+++ b/mimosahaven/admissionqueue.py
@@ -3,6 +3,7 @@
 import bisect
 import math
 import typing
+from collections.abc import Iterator
 
 
 class QueuedCall(typing.Protocol):
@@ -33,6 +34,9 @@
     def __len__(self) -> int:
         return len(self._sequences)
 
+    def __iter__(self) -> Iterator[QueuedCall]:
+        return iter(self._sequences)
+
     @property
     def important_count(self) -> int:
         """Number of important calls in the queue."""
--- a/mimosahaven/mesh/admission.py
+++ b/mimosahaven/mesh/admission.py
@@ -92,6 +92,8 @@
         self._queue = admissionqueue.AdmissionQueue()
         self._service_time = loadstats.ServiceTimeEstimate()
         self._threshold = thresholdcontrol.ThresholdController(now_ms)
+        # Last time at which a raise took the queue into account.
+        self._queue_corrected_ms = now_ms
         self._window = loadstats.LoadWindow(now_ms)
         self._updated_ms = now_ms
         self._finished_ms = now_ms
@@ -279,17 +281,31 @@
         # Little's law: mean queue length = throughput * waiting time.
         allowed_waiting = wait_target_ms * max(1, window.served) / elapsed_ms
         if mean_waiting > allowed_waiting or window.queue_refusals:
-            # The queue drains only when a change has taken effect; until then,
-            # each window would correct for it again.
-            effect_windows = max(
-                1.0, self._threshold.effect_delay_ms / elapsed_ms
+            excess_share = window.excess_share(
+                self._queue_to_correct(mean_waiting - allowed_waiting)
+            )
+            unshed_waiting = sum(
+                request.shed_priority >= self.threshold
+                for request in self._queue
             )
-            excess_waiting = max(0.0, mean_waiting - allowed_waiting)
             self._threshold.raise_by(
-                window.excess_share(excess_waiting / effect_windows),
+                excess_share,
+                unshed_waiting > allowed_waiting,
                 self._updated_ms,
             )
         elif utilization > FULL_UTILIZATION:
             self._threshold.hold()
         else:
             self._threshold.lower(max(0.0, 1.0 - utilization), self._updated_ms)
+
+    def _queue_to_correct(self, excess_waiting: float) -> float:
+        """Returns how many excess runs a raise takes into account.
+
+        The queue drains only when a raise has taken effect; until then, each
+        window would correct for it again.
+        """
+        delay_ms = self._threshold.effect_delay_ms
+        if self._updated_ms - self._queue_corrected_ms < delay_ms:
+            return 0.0
+        self._queue_corrected_ms = self._updated_ms
+        return excess_waiting
--- a/mimosahaven/mesh/thresholdcontrol.py
+++ b/mimosahaven/mesh/thresholdcontrol.py
@@ -55,19 +55,23 @@
             root_age_ms - self.effect_delay_ms
         )
 
-    def raise_by(self, excess_share: float, now_ms: float) -> None:
+    def raise_by(
+        self, excess_share: float, unshed_wait: bool, now_ms: float
+    ) -> None:
         """Raises the threshold after a window with overload.
 
         A weight is shed only once shedding all lower ones has taken effect and
-        the target is still overloaded.
+        its own runs still have to wait.
 
         Args:
           excess_share: Share of the arrived runs that cannot be served.
+          unshed_wait: Whether runs of requests that the threshold does not shed
+            wait too long.
           now_ms: Current time.
         """
         ceiling = self._weight_end(self.value)
         if self.value == ceiling:
-            if not self._has_effect(now_ms):
+            if not (unshed_wait and self._has_effect(now_ms)):
                 self._threshold.hold()
                 return
             ceiling = self._weight_end(self.value + 1)
