Log the sources that a daemon relies on, and the age of the last response

"store sources" now names the live sources of a daemon when they change, "store lost" says how old the last response of the store was, and the gauge store_sources gives the number of live sources between two lines.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -90,7 +90,7 @@
         )
         self.followers = subscriptions.Followers()
         self.subscriptions = subscriptions.Subscriptions(
-            self.replica, self.peers, self.tasks
+            self.replica, self.peers, self.tasks, self.log
         )
         self.replica.on_change = self._on_replica_change
         self.replica.publish = self.followers.publish
--- a/mimosahaven/mesh/report.py
+++ b/mimosahaven/mesh/report.py
@@ -96,6 +96,7 @@
         "store_epoch": daemon.store_watch.epoch,
         "store_reads": daemon.store_watch.read_count,
         "store_watching": float(daemon.store_watch.has_store),
+        "store_sources": len(daemon.subscriptions.live_sources),
         "followers": len(daemon.followers),
         "unreachable_peers": len(daemon.balancer.unreachable_hosts()),
         "pauses": daemon.pause_detector.pause_count,
--- a/mimosahaven/mesh/storewatch.py
+++ b/mimosahaven/mesh/storewatch.py
@@ -164,9 +164,16 @@
         if not self._failing:
             self._failing = True
             self._log.event(
-                "store lost", f"{error}; {self._replica.describe_versions()}"
+                "store lost",
+                f"{error}; {self._describe_contact(clock.monotonic_ms())}; "
+                f"{self._replica.describe_versions()}",
             )
 
+    def _describe_contact(self, now_ms: float) -> str:
+        if self.contact_ms is None:
+            return "no response before"
+        return f"last response {now_ms - self.contact_ms:.0f} ms ago"
+
     def _should_watch(self) -> bool:
         return (
             not self._replica.complete
--- a/mimosahaven/mesh/subscriptions.py
+++ b/mimosahaven/mesh/subscriptions.py
@@ -5,6 +5,7 @@
 
 from mimosahaven import clock
 from mimosahaven import tasks as tasks_lib
+from mimosahaven.mesh import eventlog
 from mimosahaven.mesh import frames
 from mimosahaven.mesh import peerpool
 from mimosahaven.mesh import replica as replica_lib
@@ -78,6 +79,10 @@
       replica: Receives the updates and selects the sources.
       peers: Opens the connections.
       tasks: Runs the subscriptions.
+      log: Log of the daemon.
+
+    Attributes:
+      live_sources: VMs of the sources that had the store at the last tick.
     """
 
     def __init__(
@@ -85,21 +90,32 @@
         replica: replica_lib.Replica,
         peers: peerpool.PeerPool,
         tasks: tasks_lib.BackgroundTasks,
+        log: eventlog.EventLog,
     ):
         self._replica = replica
         self._peers = peers
         self._tasks = tasks
+        self._log = log
         self._running: dict[str, asyncio.Task] = {}
+        self.live_sources: list[str] = []
 
     def tick(self, now_ms: float) -> None:
         """Subscribes to new sources and unsubscribes from obsolete ones."""
-        wanted = self._replica.watcher_selection.sources(now_ms)
+        selection = self._replica.watcher_selection
+        wanted = selection.sources(now_ms)
         for host in [h for h in self._running if h not in wanted]:
             self._running.pop(host).cancel()
         for host in wanted:
             # A subscription ends by itself only with an unexpected error.
             if host not in self._running or self._running[host].done():
                 self._running[host] = self._tasks.spawn(self._follow(host))
+        live_sources = selection.live_sources(now_ms)
+        if live_sources != self.live_sources:
+            self.live_sources = live_sources
+            self._log.event(
+                "store sources",
+                f"{', '.join(live_sources) or 'none'} of {', '.join(wanted)}",
+            )
 
     async def _follow(self, host: str) -> None:
         replica = self._replica
--- a/mimosahaven/mesh/watcherselection.py
+++ b/mimosahaven/mesh/watcherselection.py
@@ -149,6 +149,10 @@
             has_live = has_live or self._is_live(host, now_ms)
         return chosen
 
+    def live_sources(self, now_ms: float) -> list[str]:
+        """Returns the VMs whose daemons say that they have the store."""
+        return [h for h in self.sources(now_ms) if self._is_live(h, now_ms)]
+
     def record_heartbeat(
         self, host: str, has_store: bool, watches_store: bool, now_ms: float
     ) -> None:
