Notice within 0.8 s that a watcher has lost its path to the store

Cause: both fleet watchers were cut off from the store at the same moment. A watch without a response was noticed after its wait (up to 1.5 s) and read_timeout_ms (1.5 s). Until then the watcher's heartbeats said that it had the store, which held back all daemons that could have taken over. The sum of the waits on this path was 3.4 s; APPLY_MARGIN_MS bounded only the first of them. The class of fault is a claim of health that rests on the absence of an error.

Now a daemon that says that it has the store has a response that is at most 400 ms old, or a check in progress: a stale read of no key, which costs a tenth of another request. The first retry after that follows at once, so that one lost connection makes no one take over. The longest delay of a takeover is 0.8 s instead of 1 s, so that the sum holds for a domain with a single daemon that reaches the store. Epochs are not taken from checks, which may be stale.

--- a/mimosahaven/mesh/feed.py
+++ b/mimosahaven/mesh/feed.py
@@ -82,5 +82,12 @@
           FeedError: The store gave no usable response.
         """
 
+    async def check(self) -> None:
+        """Checks that the store responds, at less cost than any other request.
+
+        Raises:
+          FeedError: The store gave no usable response.
+        """
+
     async def close(self) -> None:
         """Closes the connections."""
--- a/mimosahaven/mesh/report.py
+++ b/mimosahaven/mesh/report.py
@@ -71,7 +71,7 @@
     """Returns the current values of the gauges, by name."""
     admission = daemon.admission
     replica = daemon.replica
-    contact_ms = daemon.store_watch.contact_ms
+    contact_ms = daemon.store_watch.contact.response_ms
     rate_limit_per_s = daemon.admission.rate_limit_per_s
     age_ms = -1.0 if contact_ms is None else clock.monotonic_ms() - contact_ms
     return {
@@ -95,6 +95,7 @@
         "store_contact_age_ms": age_ms,
         "store_epoch": daemon.store_watch.epoch,
         "store_reads": daemon.store_watch.read_count,
+        "store_checks": daemon.store_watch.check_count,
         "store_watching": float(daemon.store_watch.has_store),
         "store_sources": len(daemon.subscriptions.live_sources),
         "followers": len(daemon.followers),
--- a/mimosahaven/mesh/settings.py
+++ b/mimosahaven/mesh/settings.py
@@ -140,7 +140,14 @@
       standby_gap_ms: The same delay for a standby watcher.
       watch_min_ms: Longest watch that is used where the platform's bounds leave
         less time.
-      read_timeout_ms: Timeout for a response, in addition to the watch timeout.
+      check_interval_ms: Time without a response after which a watcher checks
+        whether the store responds. A watcher that does not notice that it has
+        lost the store holds back the daemons that would take over.
+      response_timeout_ms: Timeout for a response of a store that has responded
+        at least twice as fast lately; it rises with slower responses, up to
+        read_timeout_ms.
+      read_timeout_ms: Longest timeout for a response, in addition to the watch
+        timeout.
       retry_ms: Delay after an error; it doubles up to retry_max_ms.
       retry_max_ms: Longest delay after an error.
     """
@@ -149,6 +156,8 @@
     watch_gap_ms: PositiveMs = 100
     standby_gap_ms: PositiveMs = 400
     watch_min_ms: PositiveMs = 500
+    check_interval_ms: PositiveMs = 400
+    response_timeout_ms: PositiveMs = 400
     read_timeout_ms: PositiveMs = 1_500
     retry_ms: PositiveMs = 150
     retry_max_ms: PositiveMs = 800
--- a/mimosahaven/mesh/storewatch.py
+++ b/mimosahaven/mesh/storewatch.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+import typing
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 from mimosahaven import clock
@@ -10,6 +12,9 @@
 from mimosahaven.mesh import feed as feed_lib
 from mimosahaven.mesh import replica as replica_lib
 from mimosahaven.mesh import settings as settings_lib
+from mimosahaven.mesh import storecontact
+
+Result = typing.TypeVar("Result")
 
 # Interval at which a daemon that does not watch checks whether it has to.
 WATCH_CHECK_INTERVAL_MS = 50.0
@@ -35,8 +40,9 @@
 
     Attributes:
       bounds: Bounds from which the length of a watch follows.
-      contact_ms: Time of the last response, or None.
-      read_count: Number of requests to the store.
+      contact: Responses of the store.
+      read_count: Number of requests to the store, without checks.
+      check_count: Number of checks whether the store responds.
       on_contact: Called on each response.
     """
 
@@ -56,8 +62,9 @@
         self._rng = rng
         self._failing = False
         self._watching = False
-        self.contact_ms: float | None = None
+        self.contact = storecontact.StoreContact(settings.store)
         self.read_count = 0
+        self.check_count = 0
         self._epoch = 0
         self.on_contact: Callable[[], None] = lambda: None
 
@@ -95,8 +102,11 @@
                     delay_ms = await self._wait_for_retry(delay_ms)
                 history_gone = True
             except feed_lib.FeedError as error:
+                had_store = self.has_store
                 self.record_failure(error)
-                delay_ms = await self._wait_for_retry(delay_ms)
+                # The store may have dropped no more than this connection.
+                if not had_store:
+                    delay_ms = await self._wait_for_retry(delay_ms)
             except Exception as error:  # noqa: BLE001 - the watch must go on
                 errorlog.log_exception("store: unexpected error", error)
                 self.record_failure(feed_lib.FeedError(repr(error)))
@@ -117,13 +127,14 @@
         """
         replica = self._replica
         if not replica.complete:
-            snapshot = await self._feed.snapshot()
+            snapshot = await self._checked(self._feed.snapshot(), 0.0)
             replica.apply_snapshot(snapshot, self._record_contact())
             if self._should_watch():
                 self._record_watching()
             return
-        changes = await self._feed.changes(
-            replica.directory.revision, self.watch_wait_ms()
+        wait_ms = self.watch_wait_ms()
+        changes = await self._checked(
+            self._feed.changes(replica.directory.revision, wait_ms), wait_ms
         )
         replica.apply_changes(changes, self._record_contact())
         self._record_watching()
@@ -134,6 +145,78 @@
                 gap_ms = self._settings.standby_gap_ms
             await asyncio.sleep(gap_ms / 1000)
 
+    async def _checked(
+        self, request: Awaitable[Result], wait_ms: float
+    ) -> Result:
+        """Awaits a request, and checks meanwhile that the store responds.
+
+        There are no checks while this daemon does not have the store, as its
+        followers do not rely on it then.
+
+        Args:
+          request: The request.
+          wait_ms: Time for which the store may wait for changes.
+
+        Raises:
+          feed.FeedError: The request or a check has failed.
+        """
+        if not self.has_store:
+            return await self._timed(request, wait_ms)
+        request_task = asyncio.ensure_future(self._timed(request, wait_ms))
+        checks_task = asyncio.ensure_future(self._check_store())
+        try:
+            await asyncio.wait(
+                (request_task, checks_task),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            # Checks only end when one has failed.
+            task = request_task if request_task.done() else checks_task
+            return task.result()
+        finally:
+            request_task.cancel()
+            checks_task.cancel()
+            await asyncio.gather(
+                request_task, checks_task, return_exceptions=True
+            )
+
+    async def _check_store(self) -> None:
+        """Checks the store at intervals without a response.
+
+        Raises:
+          feed.FeedError: It gave no usable response.
+        """
+        while True:
+            pause_ms = self.contact.ms_until_check(clock.monotonic_ms())
+            await asyncio.sleep(pause_ms / 1000)
+            self.check_count += 1
+            await self._timed(self._feed.check(), 0.0)
+
+    async def _timed(
+        self, request: Awaitable[Result], wait_ms: float
+    ) -> Result:
+        """Awaits a request, for no longer than a response may take.
+
+        Raises:
+          feed.FeedError: The request has failed, or there was no response.
+        """
+        timeout_ms = wait_ms + (
+            self.contact.timeout_ms()
+            if self.has_store
+            else self._settings.read_timeout_ms
+        )
+        started_ms = clock.monotonic_ms()
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                result = await request
+        except TimeoutError as error:
+            raise feed_lib.FeedError(
+                f"no response in {timeout_ms:.0f} ms"
+            ) from error
+        now_ms = clock.monotonic_ms()
+        took_ms = max(0.0, now_ms - started_ms - wait_ms)
+        self.contact.record_response(took_ms, now_ms)
+        return result
+
     def watch_wait_ms(self) -> float:
         """Returns the maximum duration of the next watch.
 
@@ -170,9 +253,10 @@
             )
 
     def _describe_contact(self, now_ms: float) -> str:
-        if self.contact_ms is None:
+        response_ms = self.contact.response_ms
+        if response_ms is None:
             return "no response before"
-        return f"last response {now_ms - self.contact_ms:.0f} ms ago"
+        return f"last response {now_ms - response_ms:.0f} ms ago"
 
     def _should_watch(self) -> bool:
         return (
@@ -210,7 +294,6 @@
           Whether it ends an outage. Only targets missing from this response may
           have expired during the outage; targets removed later are gone.
         """
-        self.contact_ms = clock.monotonic_ms()
         self._log_epoch()
         self.on_contact()
         if not self._failing:
--- a/mimosahaven/mesh/watcherselection.py
+++ b/mimosahaven/mesh/watcherselection.py
@@ -46,7 +46,7 @@
 # others subscribe to the first one within a few ms.
 TAKEOVER_DELAY_MS = 300.0
 TAKEOVER_DELAY_STEP_MS = 100.0
-TAKEOVER_DELAY_MAX_MS = 1_000.0
+TAKEOVER_DELAY_MAX_MS = 800.0
 # Maximum number of sources, the daemons that a daemon subscribes to, while none
 # of them is live.
 SOURCES_MAX = 4
@@ -122,6 +122,13 @@
             return self._fleet_watchers[0] != self._local_host
         return self._order[0] != self._local_host
 
+    @property
+    def position(self) -> int:
+        """Position of this daemon in the order of its domain, from 0."""
+        if self._local_host not in self._order:
+            return len(self._order)
+        return self._order.index(self._local_host)
+
     @property
     def domain_size(self) -> int:
         """Number of candidates in this daemon's failure domain."""
@@ -205,9 +212,9 @@
         )
 
     def _takeover_delay_ms(self) -> float:
-        if self._local_host not in self._order:
+        position = self.position
+        if position == len(self._order):
             return TAKEOVER_DELAY_MAX_MS
-        position = self._order.index(self._local_host)
         if position < RELAYS_PER_DOMAIN:
             return RELAY_TAKEOVER_DELAY_MS * (position + 1)
         position -= RELAYS_PER_DOMAIN
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -37,6 +37,10 @@
             raise feed_lib.FeedError("down")
         return await self._pending.get()
 
+    async def check(self):
+        if self.down:
+            raise feed_lib.FeedError("down")
+
     def publish(self, changes):
         self._pending.put_nowait(changes)
 
--- a/tests/mesh/modelfleet.py
+++ b/tests/mesh/modelfleet.py
@@ -114,6 +114,10 @@
         table = store.table if store.revision > after else None
         return feed_lib.Changes(store.revision, table, [], [])
 
+    async def check(self):
+        async with self._exchange(0.0):
+            pass
+
     @contextlib.asynccontextmanager
     async def _exchange(self, wait_ms):
         """Sends a request on entry and receives the response on exit."""
@@ -232,6 +236,7 @@
         log = test_replica.NullLog()
         peers = ModelPeers(fleet, target.host, settings.peers)
         self.tasks = tasks_lib.BackgroundTasks()
+        self.failure_domain = target.failure_domain
         self.in_force_ms = {}
         self.replica = replica_lib.Replica(settings, peers, log)
         self.store_watch = storewatch.StoreWatch(
@@ -332,6 +337,17 @@
             if daemon.replica.watcher_selection.is_relay
         }
 
+    def all_but_last_candidates(self):
+        """Returns all but the daemon of each domain that takes over last."""
+        last = {}
+        for host, daemon in self.daemons.items():
+            selection = daemon.replica.watcher_selection
+            domain = daemon.failure_domain
+            last[domain] = max(
+                last.get(domain, (0, "")), (selection.position, host)
+            )
+        return self.daemons.keys() - {host for _, host in last.values()}
+
     async def change_delay_ms(self, hosts, timeout_s):
         """Writes a configuration and waits until it is in force.
 
--- a/tests/mesh/test_change_delay.py
+++ b/tests/mesh/test_change_delay.py
@@ -81,6 +81,12 @@
     return fleet.store.cut_off
 
 
+async def cut_off_all_but_one_per_domain(fleet):
+    """Takes the path to the store from all but the last in each order."""
+    fleet.store.cut_off = fleet.all_but_last_candidates()
+    return fleet.store.cut_off
+
+
 class CutOffWatcherTest(ChangeDelayTestCase):
     """Guards against CONFIG: daemons that wait for a cut-off watcher."""
 
@@ -95,3 +101,6 @@
 
     def test_all_relays_are_cut_off_from_the_store(self):
         self.assert_in_time(cut_off_relays)
+
+    def test_one_daemon_of_each_domain_reaches_the_store(self):
+        self.assert_in_time(cut_off_all_but_one_per_domain, per_domain=8)
--- a/tests/mesh/test_storewatch.py
+++ b/tests/mesh/test_storewatch.py
@@ -117,6 +117,9 @@
     async def changes(self, after, wait_ms):
         await asyncio.sleep(3600)
 
+    async def check(self):
+        pass
+
 
 class UnexpectedErrorTest(testtools.TestCase):
     def test_an_unexpected_error_does_not_end_the_watch(self):
@@ -152,6 +155,9 @@
         await self._respond()
         raise feed_lib.HistoryGoneError("gone")
 
+    async def check(self):
+        await self._respond()
+
     async def _respond(self):
         self.calls += 1
         await asyncio.sleep(0.001)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -121,6 +121,27 @@
             lambda client: client.changes(4, 100.0),
         )
 
+    def test_a_check_is_a_stale_read_without_content(self):
+        response = (200, {"items": [], "store_revision": 9}, "7")
+
+        async def check(client):
+            await client.check()
+            return client.epoch
+
+        # A stale response may be of an earlier epoch.
+        self.assertEqual(0, self.run_call([response], check))
+        [(path, query)] = self.queries
+        self.assertEqual("/api/kv-range", path)
+        self.assertEqual("prefix=none/&is_stale=1", query)
+
+    def test_a_check_of_a_refusing_store_fails(self):
+        self.assertRaises(
+            feed.FeedError,
+            self.run_call,
+            [(503, {})],
+            lambda client: client.check(),
+        )
+
     def test_revisions_include_the_epoch(self):
         page = {"items": [item("servers/i-1", ENTRY, 5)], "store_revision": 7}
         events = {
