Fetch from a peer beside the timers of the daemon

Found while listing the waits of each path by which a change travels: the periodic work of a daemon awaited a fetch from the peer that had reported newer versions. While such a peer accepts connections and says nothing, a paused daemon for example, the daemon sent no heartbeats, accepted no new sources and expired nothing for up to 1.9 s (connect_timeout_ms and silence_ms); its followers take it for failed after 0.8 s.

The fetch is a task of its own now, still one at a time, and the periodic work awaits nothing. test_a_fetch_from_a_silent_peer_does_not_stop_the_timers failed before (no tick in 10 s, its fetch never ends).

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -395,13 +395,13 @@
     async def _run_ticks(self) -> None:
         while True:
             try:
-                await self._tick(clock.monotonic_ms())
+                self._tick(clock.monotonic_ms())
             except Exception as error:  # noqa: BLE001 - the timer must go on
                 errorlog.log_exception("daemon: error in a timer", error)
             await asyncio.sleep(TICK_MS / 1000)
 
-    async def _tick(self, now_ms: float) -> None:
-        """Does the periodic work."""
+    def _tick(self, now_ms: float) -> None:
+        """Does the periodic work, without waiting for anything."""
         self._check_pause(now_ms)
         self.runner.tick(now_ms)
         self._update_local_load(now_ms)
@@ -409,7 +409,9 @@
         heartbeat = self.heartbeat()
         if self.followers.heartbeat_due(heartbeat.has_store, now_ms):
             self.followers.publish(heartbeat)
-        await self.replica.tick(now_ms)
+        self.replica.tick(now_ms)
+        if self.replica.is_fetch_due(now_ms):
+            self.tasks.spawn(self.replica.fetch_newer())
         self._complete_startup()
         self._status_log.tick(now_ms)
         if now_ms - self._last_housekeeping_ms >= 500:
--- a/mimosahaven/mesh/replica.py
+++ b/mimosahaven/mesh/replica.py
@@ -147,21 +147,26 @@
             case frames.News():
                 self._apply_news(frame, host, now_ms)
 
-    async def tick(self, now_ms: float) -> None:
-        """Expires lapsed targets and fetches newer versions from a peer."""
+    def tick(self, now_ms: float) -> None:
+        """Expires lapsed targets."""
         for target in self.directory.expire(now_ms):
             self._log.event("target gone", target.target_id)
             self._notify_change()
         for target in self.directory.restore_renewed(now_ms):
             self._log.event("target renewed", target.target_id)
             self._notify_change()
+
+    def is_fetch_due(self, now_ms: float) -> bool:
+        """Returns whether newer versions have to be fetched from a peer."""
         if not self._newer_peer_host or self._fetching:
-            return
-        if (
-            now_ms - self._newer_peer_since_ms < PEER_FETCH_DELAY_MS
-            and self.index is not None
-        ):
-            return
+            return False
+        return (
+            self.index is None
+            or now_ms - self._newer_peer_since_ms >= PEER_FETCH_DELAY_MS
+        )
+
+    async def fetch_newer(self) -> None:
+        """Fetches newer versions from the peer that has reported them."""
         host, self._newer_peer_host = self._newer_peer_host, ""
         self._fetching = True
         try:
--- a/tests/mesh/modelfleet.py
+++ b/tests/mesh/modelfleet.py
@@ -276,7 +276,9 @@
             heartbeat = self.heartbeat()
             if self.followers.heartbeat_due(heartbeat.has_store, now_ms):
                 self.followers.publish(heartbeat)
-            await self.replica.tick(now_ms)
+            self.replica.tick(now_ms)
+            if self.replica.is_fetch_due(now_ms):
+                self.tasks.spawn(self.replica.fetch_newer())
             await asyncio.sleep(daemon_lib.TICK_MS / 1000)
 
 
--- a/tests/mesh/test_replica.py
+++ b/tests/mesh/test_replica.py
@@ -69,9 +69,11 @@
         replica.on_peer_versions("10.0.0.7", 9, 0, 0.0)
 
         async def scenario():
-            await replica.tick(replica_lib.PEER_FETCH_DELAY_MS - 1)
-            self.assertEqual([], peers.fetched_hosts)
-            await replica.tick(replica_lib.PEER_FETCH_DELAY_MS)
+            delay_ms = replica_lib.PEER_FETCH_DELAY_MS
+            self.assertFalse(replica.is_fetch_due(delay_ms - 1))
+            self.assertTrue(replica.is_fetch_due(delay_ms))
+            await replica.fetch_newer()
+            self.assertFalse(replica.is_fetch_due(2 * delay_ms))
 
         asyncio.run(scenario())
         self.assertEqual(["10.0.0.7"], peers.fetched_hosts)
@@ -182,7 +184,9 @@
         self.assertEqual(1, self.replica.directory.revision)
 
         async def scenario():
-            await self.replica.tick(replica_lib.PEER_FETCH_DELAY_MS)
+            now_ms = replica_lib.PEER_FETCH_DELAY_MS
+            self.assertTrue(self.replica.is_fetch_due(now_ms))
+            await self.replica.fetch_newer()
 
         self.replica._apply_table(samples.table(samples.route()), "store")
         asyncio.run(scenario())
--- a/tests/mesh/test_subscriptions.py
+++ b/tests/mesh/test_subscriptions.py
@@ -97,3 +97,22 @@
             self.assertFalse(stopping.heartbeat().has_store)
 
         self.run_scenario(scenario)
+
+    def test_a_fetch_from_a_silent_peer_does_not_stop_the_timers(self):
+        # The daemon sent no heartbeats for the 1.9 s of the timeouts.
+        async def scenario(fleet, are_relays):
+            daemon = fleet.daemons[are_relays.index(True)]
+            requests, ticks = [], []
+
+            async def fetch(host, port, request):
+                requests.append(host)
+                await asyncio.get_running_loop().create_future()
+
+            self.patch(daemon.peers, "fetch", fetch)
+            self.patch(daemon.runner, "tick", ticks.append)
+            daemon.on_peer_versions(fleet.hosts[-1], 99, 0)
+            await fleet_lib.wait_until(lambda: requests)
+            tick_count = len(ticks)
+            await fleet_lib.wait_until(lambda: len(ticks) > tick_count + 2)
+
+        self.run_scenario(scenario)
