Refuse deeply nested documents as the malformed documents that they are

Other operators reported that one very deeply nested entry of another writer ended the machines that read the list of back ends, or stopped them from following it. It can happen here: with one more field of nested arrays in an entry or in the configuration, msgspec raises RecursionError, which no border took for a decoding error. The daemon drops the whole response of the store, reads the same again 150 ms later and follows no change any more; nothing ends. The class of fault is an error of a decoder that its border does not know.

In the action mode the watch of the list would have ended.

--- a/mimosahaven/fleet.py
+++ b/mimosahaven/fleet.py
@@ -64,7 +64,7 @@
     """
     try:
         listing = msgspec.json.decode(text, type=MemberList)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise ListError(str(error)) from error
     if listing.version < 1:
         raise ListError(f"version: {listing.version}: must be 1 or more")
--- a/mimosahaven/mesh/frames.py
+++ b/mimosahaven/mesh/frames.py
@@ -347,7 +347,7 @@
                 decoded.append(
                     _DECODER.decode(buffer[start + _LENGTH.size : end])
                 )
-            except msgspec.MsgspecError as error:
+            except (msgspec.MsgspecError, RecursionError) as error:
                 raise FrameError(str(error)) from error
             start = end
         if start:
--- a/mimosahaven/messages.py
+++ b/mimosahaven/messages.py
@@ -338,5 +338,5 @@
         raise UnsupportedVersionError(data[0])
     try:
         return _decoder.decode(memoryview(data)[1:])
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise MalformedMessageError(str(error)) from error
--- a/mimosahaven/settings.py
+++ b/mimosahaven/settings.py
@@ -259,7 +259,7 @@
     """
     try:
         raw = json5.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise errors.SettingsError([f"{file_name}: {error}"]) from error
     try:
         return Settings.model_validate(raw)
--- a/mimosahaven/tabletext.py
+++ b/mimosahaven/tabletext.py
@@ -34,7 +34,10 @@
     # Imported here, as most documents do not need its parser.
     import json5
 
-    return json5.loads(text, allow_duplicate_keys=False)
+    try:
+        return json5.loads(text, allow_duplicate_keys=False)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
 
 
 def _make_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
--- a/tests/mesh/test_frames.py
+++ b/tests/mesh/test_frames.py
@@ -65,3 +65,10 @@
         for data in (b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\1\xc1"):
             decoder = frames.FrameDecoder()
             self.assertRaises(frames.FrameError, decoder.feed, data)
+
+    def test_deeply_nested_data_is_an_error(self):
+        # An End with one more field, of arrays in arrays.
+        body = b"\x93\xa3End\xc3" + b"\x91" * 100_000 + b"\xc0"
+        data = len(body).to_bytes(4, "big") + body
+        decoder = frames.FrameDecoder()
+        self.assertRaises(frames.FrameError, decoder.feed, data)
--- a/tests/mesh/test_settings.py
+++ b/tests/mesh/test_settings.py
@@ -98,7 +98,7 @@
             return settings_lib.load(path)
 
     def test_faults_name_the_file(self):
-        for text in ("{", "[]", '{"vm": 1}'):
+        for text in ("{", "[]", '{"vm": 1}', "{vm: " + "[" * 4_000):
             error = self.assertRaises(errors.SettingsError, self.load, text)
             for fault in error.faults:
                 self.assertThat(fault, matchers.Contains("settings.json5: "))
--- a/tests/platform/fakestore.py
+++ b/tests/platform/fakestore.py
@@ -67,7 +67,11 @@
 
     async def put(self, key: str, value: object) -> int:
         """Stores an item and returns its revision."""
-        data = base64.b64encode(json.dumps(value).encode()).decode()
+        return await self.put_bytes(key, json.dumps(value).encode())
+
+    async def put_bytes(self, key: str, value: bytes) -> int:
+        """Stores an item with any bytes and returns its revision."""
+        data = base64.b64encode(value).decode()
         self._revision += 1
         item = {"key": key, "value": data, "rev": self._revision, "lease": 0}
         self._items[key] = item
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -41,6 +41,8 @@
         ):
             text = json.dumps({"version": version, "members": members})
             self.assertRaises(fleet.ListError, fleet.parse_list, text)
+        nested = f'{{"version": 1, "members": [], "more": {"[" * 100_000}'
+        self.assertRaises(fleet.ListError, fleet.parse_list, nested)
         text = json.dumps({"version": 3, "members": [good]})
         self.assertThat(fleet.parse_list(text).version, matchers.Equals(3))
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -23,6 +23,17 @@
         )
         self.assertThat(error.version, matchers.Equals(2))
 
+    def test_deeply_nested_data_is_refused(self):
+        data = messages.encode(messages.Ping(1.0))
+        # One more element, of arrays in arrays.
+        head = bytes([data[0], data[1] + 1])
+        nested = b"\x91" * 100_000 + b"\xc0"
+        self.assertRaises(
+            messages.MalformedMessageError,
+            messages.decode,
+            head + data[2:] + nested,
+        )
+
     def test_garbage_is_refused(self):
         for data in (b"", b"\x01zz", b"\x01"):
             self.assertRaises(
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -50,7 +50,17 @@
 
     def test_unusable_documents_are_refused(self):
         nested = "[" * 100_000
-        for text in ("", "{", "[]", '{"version": 1}', '{"a":1,"a":2}', nested):
+        # Not JSON, so that the JSON5 parser gets it.
+        nested_json5 = "{a: " + "[" * 4_000
+        for text in (
+            "",
+            "{",
+            "[]",
+            '{"version": 1}',
+            '{"a":1,"a":2}',
+            nested,
+            nested_json5,
+        ):
             self.assertRaises(ExceptionGroup, table.parse_table, text)
         group = self.assertRaises(
             ExceptionGroup, table.parse_table, '{"version": 1, "rows": []}'
