Refuse versions of tables and lists that no message can carry

In the action mode, a table or list of VMs with a version of 2^64 or more was taken; msgpack cannot encode it, so that a daemon that had it could not send its digest, nor the document, to any other one (OverflowError). The border refuses versions above 2^63-1 now.

test_unusable_lists_are_refused and test_unusable_documents_are_refused failed before with such a version.

--- a/mimosahaven/fleet.py
+++ b/mimosahaven/fleet.py
@@ -66,8 +66,8 @@
         listing = msgspec.json.decode(text, type=MemberList)
     except (msgspec.MsgspecError, RecursionError) as error:
         raise ListError(str(error)) from error
-    if listing.version < 1:
-        raise ListError(f"version: {listing.version}: must be 1 or more")
+    if not 1 <= listing.version <= messages.VERSION_MAX:
+        raise ListError(f"version: {listing.version}: out of range")
     seen: set[str] = set()
     for member in listing.members:
         _check_member(member)
--- a/mimosahaven/messages.py
+++ b/mimosahaven/messages.py
@@ -6,6 +6,8 @@
 from mimosahaven import errors
 
 PROTOCOL_VERSION = 1
+# Highest version of a document that messages can carry.
+VERSION_MAX = 2**63 - 1
 
 
 class UnsupportedVersionError(errors.MimosahavenError):
--- a/mimosahaven/table.py
+++ b/mimosahaven/table.py
@@ -73,7 +73,7 @@
         calls may use reserved slots and are not shed at the entry.
     """
 
-    version: Annotated[int, pydantic.Field(ge=1)]
+    version: Annotated[int, pydantic.Field(ge=1, le=messages.VERSION_MAX)]
     important_weight: Annotated[int, pydantic.Field(ge=0, le=100)] = 50
     rows: list[Row]
     services: dict[str, ServiceRow] = {}
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -38,6 +38,7 @@
             ([good | {"state": "gone"}], 1),
             ([{"target": "t"}], 1),
             ([good], 0),
+            ([good], 2**64),
         ):
             text = json.dumps({"version": version, "members": members})
             self.assertRaises(fleet.ListError, fleet.parse_list, text)
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -62,6 +62,8 @@
             nested_json5,
         ):
             self.assertRaises(ExceptionGroup, table.parse_table, text)
+        # No message between daemons can carry this version.
+        self.assertRaises(ExceptionGroup, table.parse_table, make_text(2**64))
         group = self.assertRaises(
             ExceptionGroup, table.parse_table, '{"version": 1, "rows": []}'
         )
