Check the bounds of targets and routes where they are decoded

Measured on the code before: slots, born or seq of 2^64 or more were taken as a target's, and then no list with it could be encoded for a follower (OverflowError); a port of 5,000 digits raised ValueError and dropped the whole response of the store, which was read again without end; 10^18 slots, negative times, a host name instead of an IP number, names of 1 MB and times that are infinite in ms were taken as they were. The class of fault is a value that is taken and cannot be passed on or used.

Each field of a target, a route and the limits has a bound now, on the type of the record itself, so that the border of the store and the frames between daemons check the same: within it, numbers can be passed on and their sums are finite. A bad entry costs only itself, and a bad configuration leaves the one before in force.

--- a/mimosahaven/mesh/records.py
+++ b/mimosahaven/mesh/records.py
@@ -1,6 +1,13 @@
-"""Data types for routes, limits and targets."""
+"""Data types for routes, limits and targets.
+
+The bounds of the fields are checked where a record is decoded, from the store
+or from a peer. They are far beyond what a platform uses. Within them, numbers
+can be passed on to peers and their sums are finite.
+"""
 
 import enum
+import socket
+from typing import Annotated
 
 import msgspec
 
@@ -14,6 +21,22 @@
 REVISION_NUMBER_MAX = (1 << _REVISION_NUMBER_BITS) - 1
 EPOCH_MAX = (1 << 63 - _REVISION_NUMBER_BITS) - 1
 
+# Numbers up to this have the same value in JSON, in frames and as floats.
+INTEGER_MAX = 2**53
+# Keys of the store have at most 200 bytes.
+TargetId = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+Name = Annotated[str, msgspec.Meta(max_length=1_024)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+Slots = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Rank = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Weight = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Integer = Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)]
+Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+# Up to a year.
+Ms = Annotated[float, msgspec.Meta(ge=0, le=31_536_000_000)]
+PositiveMs = Annotated[float, msgspec.Meta(gt=0, le=31_536_000_000)]
+
 
 def revision(epoch: int, number: int) -> int:
     """Returns a revision that is higher than all those of earlier epochs.
@@ -63,8 +86,8 @@
       weight: Weight relative to the sum of all weights of the route.
     """
 
-    service: str
-    weight: float
+    service: Name
+    weight: Weight
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
@@ -82,14 +105,14 @@
       shares: Services that run the requests.
     """
 
-    name: str
-    host: str
-    prefix: str
+    name: Name
+    host: Name
+    prefix: Name
     repeat_rule: RepeatRule
-    timeout_ms: float
-    objective_ms: float
-    rank: int
-    targets_max: int
+    timeout_ms: PositiveMs
+    objective_ms: Ms
+    rank: Rank
+    targets_max: Count
     shares: tuple[Share, ...]
 
     @property
@@ -101,16 +124,16 @@
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Limits on the size of requests and on slow or idle callers."""
 
-    header_bytes_max: int = 16_384
-    body_bytes_max: int = 67_108_864
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    header_bytes_max: Integer = 16_384
+    body_bytes_max: Integer = 67_108_864
+    header_timeout_ms: Ms = 3_000.0
+    idle_timeout_ms: Ms = 15_000.0
 
 
 class RouteTable(msgspec.Struct, frozen=True, kw_only=True):
     """One version of the operators' configuration."""
 
-    version: int
+    version: Integer
     routes: tuple[Route, ...]
     limits: CallerLimits = CallerLimits()
 
@@ -133,17 +156,23 @@
       sequence: The target's own count of its writes, from its start.
     """
 
-    target_id: str
-    service: str
+    target_id: TargetId
+    service: Name
     host: str
-    port: int
-    failure_domain: str
-    slots: int
-    state: str
-    cold_ms: float = 0.0
-    revision: int = 0
-    started_unix_ms: int = 0
-    sequence: int = 0
+    port: Port
+    failure_domain: Name
+    slots: Slots
+    state: Name
+    cold_ms: Ms = 0.0
+    revision: Revision = 0
+    started_unix_ms: Integer = 0
+    sequence: Integer = 0
+
+    def __post_init__(self):
+        try:
+            socket.inet_pton(socket.AF_INET, self.host)
+        except (OSError, ValueError):
+            raise ValueError("host: not an IPv4 address") from None
 
     @property
     def written_order(self) -> tuple[int, int]:
--- a/mimosahaven/mesh/replica.py
+++ b/mimosahaven/mesh/replica.py
@@ -18,6 +18,8 @@
 # After a peer reports newer versions, a daemon waits this long for the update
 # to arrive from the store before it fetches it from the peer.
 PEER_FETCH_DELAY_MS = 250.0
+# Bounds the memory of ignored entries; the oldest ones are then logged again.
+LOGGED_FAULTS_MAX = 1_000
 
 
 class Replica:
@@ -53,6 +55,7 @@
         self._newer_peer_host = ""
         self._newer_peer_since_ms = 0.0
         self._fetching = False
+        self._logged_faults: dict[str, None] = {}
         self.on_change: Callable[[], None] = lambda: None
         self.publish: Callable[[frames.Frame], None] = lambda frame: None
 
@@ -311,8 +314,13 @@
         )
 
     def _log_faults(self, faults: Sequence[str]) -> None:
+        """Logs each ignored entry once, although each snapshot has it."""
         for fault in faults:
-            self._log.event("entry ignored", fault)
+            if fault not in self._logged_faults:
+                self._logged_faults[fault] = None
+                self._log.event("entry ignored", fault)
+        while len(self._logged_faults) > LOGGED_FAULTS_MAX:
+            del self._logged_faults[next(iter(self._logged_faults))]
 
     def _notify_change(self) -> None:
         self.watcher_selection.set_targets(self.directory.targets)
--- a/tests/mesh/test_directory.py
+++ b/tests/mesh/test_directory.py
@@ -110,9 +110,10 @@
         self.replace(1, 20, [self.entry("i-1"), self.entry("i-2")])
 
     def entry(self, target_id, epoch=1, number=10, **changes):
+        high, low = divmod(int(target_id[2:]), 256)
         return samples.target(
             target_id,
-            f"10.0.0.{target_id[2:]}",
+            f"10.0.{high}.{low}",
             revision=records.revision(epoch, number),
             **{"started_unix_ms": 5, "sequence": 1} | changes,
         )
--- a/tests/mesh/test_replica.py
+++ b/tests/mesh/test_replica.py
@@ -60,6 +60,20 @@
     replica.watcher_selection.set_targets(targets)
 
 
+class IgnoredEntryTest(testtools.TestCase):
+    def test_an_ignored_entry_is_logged_once(self):
+        replica = make_replica()
+        lines = []
+        replica._log.event = lambda event, detail="", code=0: lines.append(
+            (event, detail)
+        )
+        for revision in (1, 2, 3):
+            replica.apply_snapshot(
+                feed_lib.Snapshot(revision, None, [], ["i-1: odd"]), False
+            )
+        self.assertEqual(1, lines.count(("entry ignored", "i-1: odd")))
+
+
 class PeerVersionsTest(testtools.TestCase):
     def test_newer_versions_are_fetched_from_a_peer_after_a_delay(self):
         newer = samples.table(samples.route(), version=9)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -6,6 +6,7 @@
 from mimosahaven_platform import decoding
 from mimosahaven_platform import store
 
+from mimosahaven.mesh import frames
 from mimosahaven.mesh import records
 
 CONFIG = {
@@ -111,6 +112,12 @@
             )
 
 
+def assert_refused(case, data):
+    case.assertRaises(
+        decoding.DecodingError, decoding.decode_target, "i-1", data, 5
+    )
+
+
 class DecodeTargetTest(testtools.TestCase):
     def test_an_entry_becomes_a_target(self):
         target = decoding.decode_target("i-1", encode(ENTRY), 5)
@@ -120,7 +127,7 @@
         self.assertEqual((91, 5), (target.slots, target.revision))
         self.assertEqual(("i-1", 1_700_000_000_000), target.incarnation)
 
-    def test_invalid_entries_decode_to_none(self):
+    def test_invalid_entries_are_refused(self):
         changes = (
             {"state": "resting"},
             {"slots": "many"},
@@ -131,10 +138,9 @@
             {"born": 1.5},
         )
         for change in changes:
-            data = encode(ENTRY | change)
-            self.assertIsNone(decoding.decode_target("i-1", data, 5), change)
+            assert_refused(self, encode(ENTRY | change))
         for data in (b"", b"[]", b"\xff\xfe"):
-            self.assertIsNone(decoding.decode_target("i-1", data, 5))
+            assert_refused(self, data)
 
 
 # Values of other types and bounds, and text that looks like a number.
@@ -145,6 +151,10 @@
     strategies.floats(),
     strategies.text(max_size=8),
     strategies.sampled_from(["10.0.0.1:\u00b2", "10.0.0.1:9" * 2, "-1", "0x"]),
+    strategies.sampled_from(
+        [2**63, 2**64, -(2**63) - 1, 10**18, 1e308, -1e308]
+    ),
+    strategies.sampled_from(["x" * 100_000, "10.0.0.1:" + "1" * 5_000]),
     strategies.lists(strategies.integers(), max_size=2),
     strategies.dictionaries(strategies.text(max_size=3), strategies.none()),
 )
@@ -155,7 +165,7 @@
 
     def test_a_port_that_is_a_digit_but_not_a_number(self):
         entry = ENTRY | {"address": "10.128.0.9:\u00b2"}
-        self.assertIs(None, decoding.decode_target("i-1", encode(entry), 1))
+        assert_refused(self, encode(entry))
 
     def test_a_value_that_is_not_ascii_text(self):
         item = store._Item(key="servers/i-1", value="\u00e4\u00e4\u00e4\u00e4")
@@ -167,10 +177,13 @@
         field=strategies.sampled_from(sorted(ENTRY)), value=ODD_VALUES
     )
     def test_any_field_of_an_entry(self, field, value):
-        target = decoding.decode_target(
-            "i-1", encode(ENTRY | {field: value}), 1
-        )
-        self.assertTrue(target is None or target.target_id == "i-1")
+        try:
+            target = decoding.decode_target(
+                "i-1", encode(ENTRY | {field: value}), 1
+            )
+        except decoding.DecodingError:
+            return
+        self.assert_can_be_passed_on(frames.State(None, [target], 1, {}))
 
     @hypothesis.settings(database=None, derandomize=True, deadline=None)
     @hypothesis.given(
@@ -182,12 +195,72 @@
         row = row[:column] + [value] + row[column + 1 :]
         routes = CONFIG["routes"] | {"rows": [row]}
         try:
-            decoding.decode_table(encode(CONFIG | {"routes": routes}))
+            table = decoding.decode_table(encode(CONFIG | {"routes": routes}))
         except decoding.DecodingError:
-            pass
+            return
+        self.assert_can_be_passed_on(frames.State(table, None, 1, {}))
+
+    @hypothesis.settings(database=None, derandomize=True, deadline=None)
+    @hypothesis.given(
+        field=strategies.sampled_from(sorted(CONFIG["limits"])),
+        value=ODD_VALUES,
+    )
+    def test_any_field_of_the_limits(self, field, value):
+        limits = CONFIG["limits"] | {field: value}
+        try:
+            table = decoding.decode_table(encode(CONFIG | {"limits": limits}))
+        except decoding.DecodingError:
+            return
+        self.assert_can_be_passed_on(frames.State(table, None, 1, {}))
+
+    def test_numbers_out_of_range(self):
+        for change in (
+            {"slots": 2**64},
+            {"slots": 10**18},
+            {"seq": 2**64},
+            {"seq": -(2**63) - 1},
+            {"born": 2**64},
+            {"born": -1},
+            {"cold_left_s": 1e308},
+            {"cold_left_s": -1.0},
+            {"address": "10.0.0.1:70000"},
+            {"address": "10.0.0.1:" + "1" * 5_000},
+            {"address": "host.example:80"},
+            {"address": "10.0.0.1\u0000:80"},
+            {"service": "s" * 1_000_000},
+            {"zone": "z" * 1_000_000},
+        ):
+            assert_refused(self, encode(ENTRY | change))
+        assert_refused(self, encode(ENTRY).replace(b"91", b"1" * 5_000))
+
+    def test_an_odd_configuration(self):
+        [row, other] = CONFIG["routes"]["rows"]
+        columns = CONFIG["routes"]["columns"]
+        for column, value in (
+            ("timeout_s", 1e308),
+            ("timeout_s", -1.0),
+            ("slo_s", 1e308),
+            ("priority", 2**64),
+            ("max_attempts", 2**64),
+            ("splits", [{"service": "s1", "weight": 1e308}]),
+            ("name", "n" * 1_000_000),
+        ):
+            odd = list(row)
+            odd[columns.index(column)] = value
+            routes = CONFIG["routes"] | {"rows": [odd, other]}
+            data = encode(CONFIG | {"routes": routes})
+            self.assertRaises(
+                decoding.DecodingError, decoding.decode_table, data
+            )
+        data = encode(CONFIG | {"version": "f" * 5_000})
+        self.assertRaises(decoding.DecodingError, decoding.decode_table, data)
+
+    def assert_can_be_passed_on(self, frame):
+        [received] = frames.FrameDecoder().feed(frames.encode(frame))
+        self.assertEqual(frame, received)
 
     @hypothesis.settings(database=None, derandomize=True, deadline=None)
     @hypothesis.given(data=strategies.binary(max_size=40))
     def test_any_bytes(self, data):
-        self.assertIs(None, decoding.decode_target("i-1", data, 1))
+        assert_refused(self, data)
         self.assertRaises(decoding.DecodingError, decoding.decode_table, data)
