Log frames of peers that are refused

A frame that is not valid, or has a record that is out of its bounds, closed its connection without a line in the log. It is logged and counted now, with the peer and the reason ("frame refused"). A test sends an odd record from all relays: their followers refuse it, do not rely on them and follow the next change.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -16,6 +16,7 @@
 from mimosahaven import logsink
 from mimosahaven import pause as pause_lib
 from mimosahaven import shedding
+from mimosahaven import tabletext
 from mimosahaven import tasks as tasks_lib
 from mimosahaven.mesh import admission as admission_lib
 from mimosahaven.mesh import callerserver
@@ -43,6 +44,8 @@
 
 # Interval of the daemon's periodic work.
 TICK_MS = 50.0
+# Longest description of a frame that is refused; it may quote the frame.
+FAULT_CHARS_MAX = 300
 
 
 class MeshDaemon:
@@ -88,6 +91,7 @@
         self.peer_probe = peerprobe.PeerProbe(
             self.balancer, self.peers, self.replica, self.log
         )
+        self.peers.on_frame_error = self.on_frame_error
         self.followers = subscriptions.Followers()
         self.subscriptions = subscriptions.Subscriptions(
             self.replica, self.peers, self.tasks, self.log
@@ -199,6 +203,14 @@
             host, table_version, list_revision, now_ms
         )
 
+    def on_frame_error(self, host: str, detail: str) -> None:
+        """Logs bytes of a peer that are no valid frame."""
+        self.log.event(
+            "frame refused",
+            f"from {host}: {tabletext.truncate(detail, FAULT_CHARS_MAX)}",
+            int(Code.MALFORMED),
+        )
+
     async def run(self, settings_path: pathlib.Path) -> None:
         """Runs until SIGTERM or SIGINT, then drains and returns.
 
--- a/mimosahaven/mesh/peerconnection.py
+++ b/mimosahaven/mesh/peerconnection.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import functools
+from collections.abc import Callable
 
 from mimosahaven import codes
 from mimosahaven.mesh import flowcontrol
@@ -19,13 +20,18 @@
 class PeerConnection(asyncio.Protocol):
     """Client connection to a peer, with one exchange at a time.
 
+    Args:
+      on_frame_error: Called with the reason when the peer has sent bytes that
+        are no valid frame.
+
     Attributes:
       usable: Whether the connection is open.
       idle: Whether no exchange is in progress.
       idle_since_ms: When the last exchange ended.
     """
 
-    def __init__(self):
+    def __init__(self, on_frame_error: Callable[[str], None]):
+        self._on_frame_error = on_frame_error
         self.idle = False
         self._transport: asyncio.Transport | None = None
         self._decoder = frames.FrameDecoder()
@@ -93,7 +99,8 @@
             return
         try:
             decoded = self._decoder.feed(data)
-        except frames.FrameError:
+        except frames.FrameError as error:
+            self._on_frame_error(str(error))
             self.close()
             self.connection_lost(None)
             return
--- a/mimosahaven/mesh/peerpool.py
+++ b/mimosahaven/mesh/peerpool.py
@@ -32,6 +32,10 @@
     Args:
       settings: Settings of the daemon.
       on_load: Called with the host and the load in each reply.
+
+    Attributes:
+      on_frame_error: Called with the host and the reason when a peer has sent
+        bytes that are no valid frame.
     """
 
     def __init__(
@@ -41,6 +45,9 @@
         self._port = settings.listen.peers.port
         self._local_host = settings.target.host
         self._on_load = on_load
+        self.on_frame_error: Callable[[str, str], None] = lambda host, detail: (
+            None
+        )
         self._idle: dict[
             str, collections.deque[peerconnection.PeerConnection]
         ] = {}
@@ -212,7 +219,11 @@
                 self._settings.connect_timeout_ms / 1000
             ):
                 _, connection = await loop.create_connection(
-                    peerconnection.PeerConnection, host, port or self._port
+                    lambda: peerconnection.PeerConnection(
+                        lambda detail: self.on_frame_error(host, detail)
+                    ),
+                    host,
+                    port or self._port,
                 )
         except (OSError, TimeoutError):
             return None
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -37,6 +37,9 @@
     ) -> None:
         """Handles the versions that a peer reports."""
 
+    def on_frame_error(self, host: str, detail: str) -> None:
+        """Handles bytes of a peer that are no valid frame."""
+
     def heartbeat(self) -> frames.Sign:
         """Returns the heartbeat for followers."""
 
@@ -63,7 +66,10 @@
         """Decodes and handles frames."""
         try:
             decoded = self._decoder.feed(data)
-        except frames.FrameError:
+        except frames.FrameError as error:
+            address = self._transport.get_extra_info("peername")
+            host = address[0] if address else "unknown"
+            self._handler.on_frame_error(host, str(error))
             self._transport.abort()
             return
         for frame in decoded:
--- a/tests/mesh/test_subscriptions.py
+++ b/tests/mesh/test_subscriptions.py
@@ -4,6 +4,7 @@
 
 from mimosahaven import clock
 from mimosahaven.mesh import feed as feed_lib
+from mimosahaven.mesh import frames
 from tests.mesh import fleet as fleet_lib
 from tests.mesh import samples
 
@@ -98,6 +99,31 @@
 
         self.run_scenario(scenario)
 
+    def test_an_odd_record_of_a_source_is_refused_and_following_goes_on(self):
+        # As a daemon of another version could send it.
+        async def scenario(fleet, are_relays):
+            odd = samples.target("i-9", slots=10**9)
+            refused = []
+            for daemon, is_relay in zip(fleet.daemons, are_relays, strict=True):
+                if is_relay:
+                    daemon.followers.publish(frames.State(None, [odd], 99, {}))
+                else:
+                    self.patch(
+                        daemon.peers,
+                        "on_frame_error",
+                        lambda host, detail: refused.append((host, detail)),
+                    )
+            await fleet_lib.wait_until(lambda: len(refused) >= 3)
+            for _, detail in refused:
+                self.assertIn("1000000", detail)
+            for feed in fleet.feeds:
+                feed.publish(table_change(9))
+            await self.wait_for_version(fleet.daemons, 9)
+            for daemon in fleet.daemons:
+                self.assertIsNone(daemon.replica.directory.get("i-9"))
+
+        self.run_scenario(scenario)
+
     def test_a_fetch_from_a_silent_peer_does_not_stop_the_timers(self):
         # The daemon sent no heartbeats for the 1.9 s of the timeouts.
         async def scenario(fleet, are_relays):
