--- a/tests/mesh/modelfleet.py
+++ b/tests/mesh/modelfleet.py
@@ -70,6 +70,11 @@
         for connection in self._connections:
             connection.silent = True
 
+    def lose_responses(self):
+        """Loses the responses to all requests in progress."""
+        for connection in self._connections:
+            connection.silent = connection.silent or connection.busy
+
     async def wait_for_change(self, wait_s):
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
@@ -81,6 +86,7 @@
 
     def __init__(self):
         self.silent = False
+        self.busy = False
 
 
 class ModelFeed:
@@ -107,10 +113,8 @@
         async with self._exchange(wait_ms):
             if after < store.oldest_revision:
                 raise feed_lib.HistoryGoneError("history gone")
-            if self._host in store.deaf:
-                await asyncio.sleep(wait_ms / 1000)
-            elif after >= store.revision:
-                await store.wait_for_change(wait_ms / 1000)
+            if after >= store.revision:
+                await self._wait_for_change(wait_ms / 1000)
         table = store.table if store.revision > after else None
         return feed_lib.Changes(store.revision, table, [], [])
 
@@ -118,11 +122,19 @@
         async with self._exchange(0.0):
             pass
 
+    async def _wait_for_change(self, wait_s):
+        now_s = asyncio.get_running_loop().time
+        end_s = now_s() + wait_s
+        await self._store.wait_for_change(wait_s)
+        if self._host in self._store.deaf:
+            await asyncio.sleep(max(0.0, end_s - now_s()))
+
     @contextlib.asynccontextmanager
     async def _exchange(self, wait_ms):
         """Sends a request on entry and receives the response on exit."""
         timeout_ms = wait_ms + self._settings.read_timeout_ms
         connection = self._idle.pop() if self._idle else self._store.connect()
+        connection.busy = True
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 await self._transfer(connection)
@@ -133,6 +145,7 @@
             raise feed_lib.FeedError(
                 f"no response in {timeout_ms:.0f} ms"
             ) from error
+        connection.busy = False
         self._idle.append(connection)
 
     async def _transfer(self, connection):
@@ -203,7 +216,8 @@
         return state
 
     async def _connect(self, host):
-        if self._fleet.is_cut(host, self._host):
+        fleet = self._fleet
+        if fleet.is_cut(host, self._host) or fleet.is_cut(self._host, host):
             await asyncio.sleep(self._settings.connect_timeout_ms / 1000)
             return False
         await asyncio.sleep(3 * LATENCY_S)
@@ -292,6 +306,7 @@
 
     Attributes:
       unreachable: VMs that can neither send to other VMs nor receive.
+      cut_links: Pairs of a VM and another one that it cannot send to.
     """
 
     def __init__(self, seed, domains=3, per_domain=4):
@@ -307,6 +322,7 @@
         self.rng = random.Random(seed)
         self.store = ModelStore(targets)
         self.unreachable = set()
+        self.cut_links = set()
         self.daemons = {
             target.host: ModelDaemon(
                 self, target, random.Random(f"{seed}/{target.host}")
@@ -322,8 +338,16 @@
         for daemon in self.daemons.values():
             daemon.tasks.cancel_all()
 
-    def is_cut(self, host, other_host):
-        return host in self.unreachable or other_host in self.unreachable
+    def is_cut(self, sender, receiver):
+        return (
+            not self.unreachable.isdisjoint((sender, receiver))
+            or (sender, receiver) in self.cut_links
+        )
+
+    def end_faults(self):
+        self.store.cut_off, self.store.deaf = set(), set()
+        self.store.response_s = RESPONSE_S
+        self.unreachable, self.cut_links = set(), set()
 
     def fleet_watchers(self):
         return {
