Cut daemons off from the store and write odd entries in the soak

The new fault store_cut takes the path to the store from several daemons for 1.3 to 4 s, in one or both directions, also for new connections; most of the time all fleet watchers are among them, and a configuration follows within 0.3 s. odd_entry leaves one of eight odd entries among those of the targets and excuses nothing.

--- a/mimosahaven/testing/forwarder.py
+++ b/mimosahaven/testing/forwarder.py
@@ -53,6 +53,8 @@
       blocked_hosts: IP addresses of clients on the other side of a partition:
         their connections are accepted, but bytes in both directions are
         discarded.
+      cut_directions: Directions in which all bytes are discarded, also those of
+        connections that are opened later.
     """
 
     def __init__(self, host: str, to_host: str, to_port: int):
@@ -60,6 +62,7 @@
         self.delay_ms = 0.0
         self.discarded_bytes = 0
         self.blocked_hosts: frozenset[str] = frozenset()
+        self.cut_directions = Direction(0)
         self._host = host
         self._destination = (to_host, to_port)
         self._server: asyncio.Server | None = None
@@ -131,7 +134,10 @@
             while data := await reader.read(CHUNK_BYTES):
                 await asyncio.sleep(self.delay_ms / 1000)
                 blocked = connection.client_host in self.blocked_hosts
-                if blocked or direction in connection.discarded_directions:
+                discarded = (
+                    connection.discarded_directions | self.cut_directions
+                )
+                if blocked or direction in discarded:
                     self.discarded_bytes += len(data)
                 else:
                     writer.write(data)
--- a/tests/platform/fakestore.py
+++ b/tests/platform/fakestore.py
@@ -126,9 +126,11 @@
 
     async def _handle_range(self, request: web.Request) -> web.Response:
         await self._inject_fault(request)
+        prefix = request.query["prefix"]
+        items = [i for i in self._items.values() if i["key"].startswith(prefix)]
         return web.json_response(
             {
-                "items": sorted(self._items.values(), key=lambda i: i["key"]),
+                "items": sorted(items, key=lambda i: i["key"]),
                 "store_revision": self._revision,
                 "has_more": False,
             }
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,13 +16,31 @@
 Fault = Callable[["harness_lib.Harness", int, float], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
 # Planned stops, reloads and configuration changes; all others are faults.
-PLANNED = {"term", "hup", "table", "replace_target", "limit_target"}
+PLANNED = {
+    "term",
+    "hup",
+    "table",
+    "replace_target",
+    "limit_target",
+    "odd_entry",
+}
 FLEET_WIDE = {"store", "store_history", "store_restored"}
 OUTAGES = (
     fakestore.Fault.BUSY,
     fakestore.Fault.SILENT,
     fakestore.Fault.RESET,
 )
+# JSON of a field that makes an entry odd.
+ODD_CHANGES = (
+    b'"more": ' + b"[" * 20_000 + b"]" * 20_000,
+    b'"slots": 18446744073709551616',
+    b'"seq": -9223372036854775809',
+    b'"address": "10.0.0.1:%b"' % (b"1" * 5_000),
+    b'"address": "10.0.0.1:70000"',
+    b'"cold_left_s": 1e308',
+    b'"born": "yesterday"',
+    b"\xff",
+)
 # Faults that overlap with others of the same VM.
 OVERLAPPING = {"limit_target"}
 
@@ -108,6 +126,47 @@
     await asyncio.sleep(duration_s)
 
 
+@register
+async def store_cut(harness, vm, duration_s):
+    """Cuts several daemons off from the store, often all fleet watchers."""
+    rng = harness.rng
+    vms = set(
+        rng.sample(range(harness.count), rng.randint(0, harness.count // 3))
+    )
+    if rng.random() < 0.7:
+        vms |= harness.fleet_watchers()
+    direction = rng.choice(list(forwarder_lib.Direction))
+    for other_vm in vms | {vm}:
+        harness.store_forwarders[other_vm].cut_directions = direction
+    now_s = time.monotonic()
+    cuts = [
+        observations_lib.Disruption("store_cut", other_vm, False, now_s)
+        for other_vm in vms - {vm}
+    ]
+    harness.observations.disruptions += cuts
+    if rng.random() < 0.7:
+        await asyncio.sleep(rng.uniform(0, 0.3))
+        await harness.put_table()
+    try:
+        await asyncio.sleep(duration_s + 1.0)
+    finally:
+        for other_vm in vms | {vm}:
+            forwarder = harness.store_forwarders[other_vm]
+            forwarder.cut_directions = forwarder_lib.Direction(0)
+            # Their discarded bytes are not sent again.
+            forwarder.reset_connections()
+        for cut in cuts:
+            cut.end_s = time.monotonic()
+
+
+@register
+async def odd_entry(harness, vm, duration_s):
+    """Lets another writer leave an odd entry among those of the targets."""
+    name = f"odd-{harness.rng.randrange(5)}"
+    await harness.put_odd_entry(name, harness.rng.choice(ODD_CHANGES))
+    await asyncio.sleep(duration_s)
+
+
 @register
 async def store(harness, vm, duration_s):
     """Makes the store busy, silent, or reset its connections."""
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -13,6 +13,7 @@
 import time
 
 from mimosahaven.mesh import records
+from mimosahaven.mesh import watcherselection
 from mimosahaven.testing import forwarder as forwarder_lib
 from mimosahaven.testing import processes
 from tests.platform import fakestore
@@ -227,6 +228,44 @@
         self._writes.append((time.monotonic(), target_id))
         await writer.remove_target(self.store, target_id)
 
+    async def put_odd_entry(self, target_id: str, change: bytes) -> None:
+        """Writes an entry that no target writes.
+
+        Args:
+          target_id: ID in its key.
+          change: JSON of the field that is not as a target would write it.
+        """
+        entry = b'{"service": "odd", "address": "10.0.0.1:80", "zone": "z", '
+        entry += b'"slots": 1, "state": "ready", "cold_left_s": 0, "seq": 1, '
+        await self.store.put_bytes(
+            f"servers/{target_id}", entry + change + b"}"
+        )
+
+    def fleet_watchers(self) -> set[int]:
+        """Returns the VMs whose daemons watch the store for the fleet."""
+        targets = [
+            records.Target(
+                target_id=target.target_id,
+                service=target.service,
+                host=target.host,
+                port=workload.TARGET_PORT,
+                failure_domain=_failure_domain(target.vm),
+                slots=workload.SLOTS,
+                state=target.state,
+            )
+            for target in self.targets
+            if target is not None
+        ]
+        watchers = set()
+        for vm, host in enumerate(self.hosts):
+            selection = watcherselection.WatcherSelection(
+                host, _failure_domain(vm)
+            )
+            selection.set_targets(targets)
+            if selection.is_fleet_watcher:
+                watchers.add(vm)
+        return watchers
+
     async def crash_target(self, vm: int) -> None:
         """Stops a target abruptly and removes its store entry after a delay."""
         target, self.targets[vm] = self.targets[vm], None
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,8 +11,13 @@
 VMS = 6
 FAULTS_S = 8.0
 FAULT_FREE_S = 2.0
-# Seeds that once failed, each with the cause of the failure.
-REGRESSION_SEEDS: dict[int, str] = {}
+# Seeds that once failed, each with its focus and the cause of the failure.
+REGRESSION_SEEDS: dict[int, tuple[tuple[str, ...], str]] = {
+    91011: (
+        ("store_cut",),
+        "both fleet watchers did not notice that they had lost the store",
+    ),
+}
 
 
 class SoakTest(testtools.TestCase):
@@ -31,6 +36,9 @@
     def test_a_short_soak_of_rate_limits_and_restores(self):
         self.run_soak(2, ("limit_target", "replace_target", "store_restored"))
 
+    def test_a_short_soak_of_cut_stores_and_odd_entries(self):
+        self.run_soak(3, ("store_cut", "odd_entry", "table"))
+
     def test_regression_seeds(self):
-        for seed in REGRESSION_SEEDS:
-            self.run_soak(seed)
+        for seed, (focus, _) in REGRESSION_SEEDS.items():
+            self.run_soak(seed, focus)
