Wait before the retry of a watch that the store resets at once

The first retry after a lost response followed without a delay, also when the watch had failed at once: a store that resets watches and answers other requests was read in a loop. The time since the request counts towards the delay instead, so that only a request that has lasted longer than the delay is repeated at once. A test with such a store failed before (25 or more requests in a second).

--- a/mimosahaven/mesh/storewatch.py
+++ b/mimosahaven/mesh/storewatch.py
@@ -82,6 +82,7 @@
                 self._record_following()
                 await asyncio.sleep(WATCH_CHECK_INTERVAL_MS / 1000)
                 continue
+            started_ms = clock.monotonic_ms()
             try:
                 self.read_count += 1
                 was_complete = self._replica.complete
@@ -102,20 +103,29 @@
                     delay_ms = await self._wait_for_retry(delay_ms)
                 history_gone = True
             except feed_lib.FeedError as error:
-                had_store = self.has_store
-                self.record_failure(error)
                 # The store may have dropped no more than this connection.
-                if not had_store:
-                    delay_ms = await self._wait_for_retry(delay_ms)
+                # The time until that was noticed is then long enough a delay.
+                elapsed_ms = clock.monotonic_ms() - started_ms
+                passed_ms = elapsed_ms if self.has_store else 0.0
+                self.record_failure(error)
+                delay_ms = await self._wait_for_retry(delay_ms, passed_ms)
             except Exception as error:  # noqa: BLE001 - the watch must go on
                 errorlog.log_exception("store: unexpected error", error)
                 self.record_failure(feed_lib.FeedError(repr(error)))
                 delay_ms = await self._wait_for_retry(delay_ms)
 
-    async def _wait_for_retry(self, delay_ms: float) -> float:
-        """Waits after an error; returns the delay after the next one."""
+    async def _wait_for_retry(
+        self, delay_ms: float, passed_ms: float = 0.0
+    ) -> float:
+        """Waits after an error; returns the delay after the next one.
+
+        Args:
+          delay_ms: Delay, without its jitter.
+          passed_ms: Part of the delay that has already passed.
+        """
         jitter = self._rng.uniform(0.7, 1.3)
-        await asyncio.sleep(self._retry_delay_ms(delay_ms) * jitter / 1000)
+        wait_ms = self._retry_delay_ms(delay_ms) * jitter - passed_ms
+        await asyncio.sleep(max(0.0, wait_ms) / 1000)
         return min(delay_ms * 2, self._settings.retry_max_ms)
 
     async def read(self) -> None:
--- a/tests/mesh/test_storewatch.py
+++ b/tests/mesh/test_storewatch.py
@@ -177,3 +177,28 @@
 
         # Twice at once, then a watch and a snapshot after each retry delay.
         self.assertTrue(asyncio.run(scenario()) < 20)
+
+
+class ResettingFeed(ForgetfulFeed):
+    """A feed that fails all watches at once, and no other request."""
+
+    async def changes(self, after, wait_ms):
+        await self._respond()
+        if wait_ms > 0:
+            raise feed_lib.FeedError("reset")
+        return feed_lib.Changes(after, None, [], [])
+
+
+class ResetWatchTest(testtools.TestCase):
+    def test_a_store_that_resets_watches_is_not_read_in_a_loop(self):
+        async def scenario():
+            watch, replica = make_watch(3)
+            watch._feed = ResettingFeed(list(replica.directory.targets))
+            task = asyncio.ensure_future(watch.run())
+            await asyncio.sleep(1.0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return watch._feed.calls
+
+        # A watch and a read after each retry delay.
+        self.assertTrue(asyncio.run(scenario()) < 25)
