Tell the relays at once that a watcher has lost its own watch

The trace shows both watchers noticing their loss after 650 and 676 ms and their relays learning of it 350 ms later. A heartbeat was sent at once only when has_store changed; a fleet watcher is a relay, too, and the first one to lose its watch still had the store through the other one, so that its relays went on relying on it until the next interval (300 ms).

A change of watches_store makes a heartbeat due as well. test_the_loss_of_the_own_watch_is_told_at_once failed before.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -419,7 +419,7 @@
         self._update_local_load(now_ms)
         self.subscriptions.tick(now_ms)
         heartbeat = self.heartbeat()
-        if self.followers.heartbeat_due(heartbeat.has_store, now_ms):
+        if self.followers.heartbeat_due(heartbeat, now_ms):
             self.followers.publish(heartbeat)
         self.replica.tick(now_ms)
         if self.replica.is_fetch_due(now_ms):
--- a/mimosahaven/mesh/subscriptions.py
+++ b/mimosahaven/mesh/subscriptions.py
@@ -34,7 +34,8 @@
     def __init__(self):
         self._followers: set[Follower] = set()
         self._heartbeat_ms = 0.0
-        self._told_has_store = False
+        # What the last heartbeat has told of the store.
+        self._told = (False, False)
 
     def __len__(self) -> int:
         return len(self._followers)
@@ -56,19 +57,20 @@
             if follower.push(data) > UNSENT_BYTES_MAX:
                 follower.abort()
 
-    def heartbeat_due(self, has_store: bool, now_ms: float) -> bool:
+    def heartbeat_due(self, heartbeat: frames.Sign, now_ms: float) -> bool:
         """Returns whether a heartbeat is due; if so, restarts the interval.
 
         One is due at intervals, and as soon as this daemon gets or loses the
-        store.
+        store or its own watch of it: a relay relies on those that watch.
         """
         elapsed_ms = now_ms - self._heartbeat_ms
+        told = heartbeat.has_store, heartbeat.watches_store
         if (
             elapsed_ms < watcherselection.HEARTBEAT_INTERVAL_MS
-            and has_store == self._told_has_store
+            and told == self._told
         ):
             return False
-        self._heartbeat_ms, self._told_has_store = now_ms, has_store
+        self._heartbeat_ms, self._told = now_ms, told
         return True
 
 
--- a/tests/mesh/modelfleet.py
+++ b/tests/mesh/modelfleet.py
@@ -288,7 +288,7 @@
             now_ms = clock.monotonic_ms()
             self._subscriptions.tick(now_ms)
             heartbeat = self.heartbeat()
-            if self.followers.heartbeat_due(heartbeat.has_store, now_ms):
+            if self.followers.heartbeat_due(heartbeat, now_ms):
                 self.followers.publish(heartbeat)
             self.replica.tick(now_ms)
             if self.replica.is_fetch_due(now_ms):
--- a/tests/mesh/test_subscriptions.py
+++ b/tests/mesh/test_subscriptions.py
@@ -5,6 +5,7 @@
 from mimosahaven import clock
 from mimosahaven.mesh import feed as feed_lib
 from mimosahaven.mesh import frames
+from mimosahaven.mesh import subscriptions
 from tests.mesh import fleet as fleet_lib
 from tests.mesh import samples
 
@@ -14,6 +15,21 @@
     return feed_lib.Changes(version, table, [], [])
 
 
+class HeartbeatTest(testtools.TestCase):
+    """Guards against CONFIG: relays that learn late of a lost watch."""
+
+    def test_the_loss_of_the_own_watch_is_told_at_once(self):
+        # A fleet watcher is a relay, too, and still has the store through the
+        # other fleet watcher.
+        followers = subscriptions.Followers()
+        watching = frames.Sign(True, 1, 1, True)
+        following = frames.Sign(True, 1, 1, False)
+        self.assertTrue(followers.heartbeat_due(watching, 1_000.0))
+        self.assertFalse(followers.heartbeat_due(watching, 1_050.0))
+        self.assertTrue(followers.heartbeat_due(following, 1_100.0))
+        self.assertFalse(followers.heartbeat_due(following, 1_150.0))
+
+
 class SubscriptionsTest(testtools.TestCase):
     """Daemons that follow others, over real sockets."""
 
