--- a/mimosahaven/mesh/storewatch.py
+++ b/mimosahaven/mesh/storewatch.py
@@ -137,15 +137,16 @@
         """
         replica = self._replica
         if not replica.complete:
-            snapshot = await self._checked(self._feed.snapshot(), 0.0)
+            # A snapshot has many pages, each of which has its own timeout.
+            snapshot = await self._checked(self._feed.snapshot())
+            self.contact.record_response(0.0, clock.monotonic_ms())
             replica.apply_snapshot(snapshot, self._record_contact())
             if self._should_watch():
                 self._record_watching()
             return
         wait_ms = self.watch_wait_ms()
-        changes = await self._checked(
-            self._feed.changes(replica.directory.revision, wait_ms), wait_ms
-        )
+        watch = self._feed.changes(replica.directory.revision, wait_ms)
+        changes = await self._checked(self._timed(watch, wait_ms))
         replica.apply_changes(changes, self._record_contact())
         self._record_watching()
         if changes.table or changes.changed or changes.gone:
@@ -155,24 +156,18 @@
                 gap_ms = self._settings.standby_gap_ms
             await asyncio.sleep(gap_ms / 1000)
 
-    async def _checked(
-        self, request: Awaitable[Result], wait_ms: float
-    ) -> Result:
+    async def _checked(self, request: Awaitable[Result]) -> Result:
         """Awaits a request, and checks meanwhile that the store responds.
 
         There are no checks while this daemon does not have the store, as its
         followers do not rely on it then.
 
-        Args:
-          request: The request.
-          wait_ms: Time for which the store may wait for changes.
-
         Raises:
           feed.FeedError: The request or a check has failed.
         """
         if not self.has_store:
-            return await self._timed(request, wait_ms)
-        request_task = asyncio.ensure_future(self._timed(request, wait_ms))
+            return await request
+        request_task = asyncio.ensure_future(request)
         checks_task = asyncio.ensure_future(self._check_store())
         try:
             await asyncio.wait(
@@ -206,6 +201,10 @@
     ) -> Result:
         """Awaits a request, for no longer than a response may take.
 
+        Args:
+          request: The request.
+          wait_ms: Time for which the store may wait for changes.
+
         Raises:
           feed.FeedError: The request has failed, or there was no response.
         """
--- a/tests/mesh/test_storewatch.py
+++ b/tests/mesh/test_storewatch.py
@@ -10,6 +10,7 @@
 from mimosahaven.mesh import watcherselection
 from tests.mesh import samples
 from tests.mesh import test_replica
+from tests.mesh import virtualtime
 
 DOMAINS = ("a", "b", "c")
 
@@ -202,3 +203,28 @@
 
         # A watch and a read after each retry delay.
         self.assertTrue(asyncio.run(scenario()) < 25)
+
+
+class LongSnapshotFeed(ForgetfulFeed):
+    """A feed whose snapshot takes longer than a single response may take."""
+
+    async def snapshot(self):
+        self.calls += 1
+        await asyncio.sleep(1.0)
+        return feed_lib.Snapshot(5, None, self._targets)
+
+    async def check(self):
+        pass
+
+
+class LongSnapshotTest(testtools.TestCase):
+    def test_a_snapshot_may_take_longer_than_a_response(self):
+        async def scenario():
+            watch, replica = make_watch(3)
+            replica.complete = False
+            watch._feed = LongSnapshotFeed(list(replica.directory.targets))
+            self.assertTrue(watch.has_store)
+            await watch.read()
+            self.assertTrue(replica.complete)
+
+        virtualtime.run(scenario())
