--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -62,6 +62,7 @@
             try:
                 return await call(client)
             finally:
+                self.connection_count = fake_store.connection_count
                 await client.close()
                 fake_store.close()
 
@@ -134,6 +135,18 @@
         self.assertEqual("/api/kv-range", path)
         self.assertEqual("prefix=none/&is_stale=1", query)
 
+    def test_checks_and_reads_share_no_connection(self):
+        # A late copy of the response to a check would be an empty snapshot.
+        page = {"items": [], "store_revision": 9}
+
+        async def read_and_check(client):
+            for _ in range(2):
+                await client.check()
+                await client.snapshot()
+
+        self.run_call([(200, page)] * 4, read_and_check)
+        self.assertEqual(2, self.connection_count)
+
     def test_a_check_of_a_refusing_store_fails(self):
         self.assertRaises(
             feed.FeedError,
