Check IPv4 addresses and ports of settings and targets in one place

The bounds of targets had a second copy of the check of an address and of the type of a port that the settings have. No change of behaviour; the message of a bad address names it in both.

--- a/mimosahaven/mesh/records.py
+++ b/mimosahaven/mesh/records.py
@@ -66,6 +66,18 @@
     return f"{epoch_of(revision_)}.{number_of(revision_)}"
 
 
+def require_ipv4(host: str) -> None:
+    """Checks that a host is an IPv4 address.
+
+    Raises:
+      ValueError: It is not.
+    """
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        raise ValueError(f"{host[:40]!r}: not an IPv4 address") from None
+
+
 class RepeatRule(enum.Enum):
     """Whether a request may run more than once.
 
@@ -169,10 +181,7 @@
     sequence: Integer = 0
 
     def __post_init__(self):
-        try:
-            socket.inet_pton(socket.AF_INET, self.host)
-        except (OSError, ValueError):
-            raise ValueError("host: not an IPv4 address") from None
+        require_ipv4(self.host)
 
     @property
     def written_order(self) -> tuple[int, int]:
--- a/mimosahaven/mesh/settings.py
+++ b/mimosahaven/mesh/settings.py
@@ -5,7 +5,6 @@
 """
 
 import pathlib
-import socket
 import typing
 from typing import Annotated
 from typing import Any
@@ -14,13 +13,13 @@
 
 from mimosahaven import errors
 from mimosahaven import tabletext
+from mimosahaven.mesh import records
 
 PositiveMs = Annotated[float, msgspec.Meta(gt=0, le=3_600_000)]
 PositiveS = Annotated[float, msgspec.Meta(gt=0, le=3_600)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=10_000_000)]
-Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 # 0 stands for no port.
 OptionalPort = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 
@@ -35,13 +34,10 @@
     """An IPv4 address and a port, written as "IP:PORT" or as two fields."""
 
     host: str
-    port: Port
+    port: records.Port
 
     def __post_init__(self):
-        try:
-            socket.inet_pton(socket.AF_INET, self.host)
-        except OSError:
-            raise ValueError(f"{self.host!r}: not an IPv4 address") from None
+        records.require_ipv4(self.host)
 
 
 class HeaderNames(SettingsStruct):
