Pass on a response whose keep-alive timeout has too many digits

A complete, signed response of a target with such a Keep-Alive header was answered with 502. Numbers of more than nine digits are ignored now, and the default timeout holds.

test_a_response_with_an_odd_keep_alive_timeout_is_passed_on failed before (502).

--- a/mimosahaven/mesh/httpclient.py
+++ b/mimosahaven/mesh/httpclient.py
@@ -22,6 +22,8 @@
 IDLE_MARGIN_MS = 1_000.0
 # Keep-alive timeout assumed for a server that does not announce one.
 KEEP_ALIVE_TIMEOUT_DEFAULT_MS = 4_000.0
+# A number of seconds with more digits is ignored.
+TIMEOUT_DIGITS_MAX = 9
 # Limits on a response, since a server in trouble may send bytes without an end:
 # names and values of all headers and trailers together, and all bytes that are
 # not part of the body. The second one allows for short chunks, each of which
@@ -279,7 +281,9 @@
             return
         for part in value.split(b","):
             name, _, number = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and number.isdigit():
+            # int() refuses very long numbers, which would fail the response.
+            is_number = number.isdigit() and len(number) <= TIMEOUT_DIGITS_MAX
+            if name.lower() == b"timeout" and is_number:
                 self.keep_alive_timeout_ms = int(number) * 1000.0
 
 
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -232,6 +232,23 @@
 
         self.run_scenario(scenario)
 
+    def test_a_response_with_an_odd_keep_alive_timeout_is_passed_on(self):
+        async def odd_timeout(head, body, writer, number):
+            # More digits than int() converts.
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nMimosahaven-Attempt: %b\r\n"
+                b"Mimosahaven-Signature: s1\r\n"
+                b"Keep-Alive: timeout=%b\r\nContent-Length: 2\r\n\r\nhi"
+                % (attempt_id(head), b"1" * 5_000)
+            )
+
+        async def scenario():
+            async with fleet_lib.Fleet(["katalog"], [odd_timeout]) as fleet:
+                status, _, body = await fleet.send_request()
+                self.assertEqual((200, b"hi"), (status, body))
+
+        self.run_scenario(scenario)
+
     def test_a_success_without_a_signature_is_not_forwarded(self):
         async def unsigned(head, body, writer, number):
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
