Refuse an action id with very long numbers as a bad one

In the action mode, a caller's action id whose time or sequence had more than 4,300 digits raised ValueError instead of BadActionIdError, so that the request failed as an internal error; with 20 to 4,300 digits it was taken, and no message can carry it. Numbers of more than 18 digits make an id bad now (BAD_ACTION_ID). test_unused_ids_and_refusals failed before with such an id.

--- a/mimosahaven/identity.py
+++ b/mimosahaven/identity.py
@@ -11,6 +11,8 @@
 # Difference in priority between adjacent weights. Calls of equal weight are
 # ordered within it by a hash of the action id.
 WEIGHT_STEP = 65536
+# Numbers in an action id; messages carry all numbers with so many digits.
+NUMBER_DIGITS_MAX = 18
 
 
 class BadActionIdError(errors.MimosahavenError):
@@ -51,8 +53,9 @@
     parts = text.rsplit(".", 3)
     if len(parts) != 4 or not parts[0] or len(parts[1]) != 16:
         raise BadActionIdError(text)
-    if not (parts[2].isdecimal() and parts[3].isdecimal()):
-        raise BadActionIdError(text)
+    for number in parts[2:]:
+        if not number.isdecimal() or len(number) > NUMBER_DIGITS_MAX:
+            raise BadActionIdError(text)
     return ActionId(parts[0], parts[1], int(parts[2]), int(parts[3]))
 
 
--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -242,6 +242,8 @@
         for action_id, code, fields in (
             ("x", Code.BAD_ACTION_ID, {}),
             (f"{unused}7", Code.BAD_ACTION_ID, {}),
+            # More digits than int() converts.
+            (f"{unused}{'7' * 5_000}", Code.BAD_ACTION_ID, {}),
             (unused.replace(".1.", ".2000."), Code.BAD_ACTION_ID, {}),
             (f"{str(used)[:-4]}.2.2", Code.BAD_ACTION_ID, {}),
             (remote, Code.BAD_ACTION_ID, {"forwarded": True}),
