review: add case 4, crashing requests are forgotten by a planned restart

Rule: BUDGET, a request that crashes backends reaches them in more than three retries later than stable_s after the third crash.

Seen: after the third crash the request is refused. After each planned restart of a daemon beside a backend it is run again: five more crashes, and 4 to 14 sound orders lost with them.

Code at fault: mesh/crashtracker.py and mesh/daemon.py, _notify_service: crashes are told once, and a daemon that starts does not ask for them.

--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -26,6 +26,9 @@
 
     Attributes:
       truncate: Returns whether the answer to a request breaks off.
+      crashes: Returns whether a request crashes the backend that begins it.
+      on_crash: Called when the backend has crashed.
+      running: Number of requests that it runs.
     """
 
     def __init__(
@@ -37,6 +40,8 @@
     ):
         self.instance = instance
         self.truncate: Callable[[wire.Message], bool] = lambda request: False
+        self.crashes: Callable[[wire.Message], bool] = lambda request: False
+        self.on_crash: Callable[[], None] = lambda: None
         self.running = 0
         self._record = record
         self._body = body
@@ -98,6 +103,11 @@
             writer.write(wire.encode_response(421, headers))
             return True
         self._record.add("run", self.instance, request)
+        if self.crashes(request):
+            self._record.add("crashed", self.instance, request)
+            self.stop()
+            self.on_crash()
+            return False
         self.running += 1
         try:
             await asyncio.sleep(self._work_s)
--- a/review/standins/machines.py
+++ b/review/standins/machines.py
@@ -193,6 +193,20 @@
         machine.process.send_signal(signal.SIGKILL)
         machine.process.wait()
 
+    async def restart_planned(self, machine: Machine) -> None:
+        """Stops a daemon by SIGTERM, and starts it again."""
+        self.record.note(f"{machine.name} gets SIGTERM")
+        machine.process.send_signal(signal.SIGTERM)
+        until_s = time.monotonic() + BOUNDS["grace_s"]
+        while machine.process.poll() is None:
+            if time.monotonic() > until_s:
+                self.kill(machine)
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(RESTART_DELAY_S)
+        self.start_daemon(machine)
+        await self.wait_ready(machine)
+        self.record.note(f"{machine.name} has started again")
+
     async def wait_ready(self, machine: Machine) -> None:
         """Waits until a daemon is ready.
 
