--- a/review/1/play.py
+++ b/review/1/play.py
@@ -108,7 +108,7 @@
     server.stop()
     await asyncio.sleep(DARK_S)
     record.note(f"{machine.name} has power again")
-    machine.proxy.dark = False
+    machine.proxy.regain_power()
     await server.start(machine.host, deployment.ports["app"])
     await deployment.put_entry(server.instance, machine)
     deployment.start_daemon(machine)
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -102,12 +102,14 @@
     )
     bound_s = float("inf")
     if trouble:
+        leaving.leaving = True
         await deployment.put_entry(leaving.instance, machine, "draining")
         bound_s = time.monotonic() + DRAIN_S
         record.note(f"the store has acknowledged: {leaving.instance} drains")
         await asyncio.sleep(DRAIN_S + LONGER_S)
         record.note(f"{leaving.instance} ends")
         leaving.stop()
+        await deployment.remove_entry(leaving.instance)
     answers = await asyncio.gather(*asked)
     late = [
         (at_s - bound_s, attempt_id)
@@ -117,6 +119,7 @@
     lost = sum(answer is None or answer.status >= 500 for answer in answers)
     record.note(f"{len(late)} late at {leaving.instance}, {lost} failed")
     if trouble:
+        leaving.leaving = False
         await leaving.start(machine.host, deployment.ports["app"])
         await deployment.put_entry(leaving.instance, machine)
     return [
--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -28,6 +28,7 @@
       truncate: Returns whether the answer to a request breaks off.
       crashes: Returns whether a request crashes the backend that begins it.
       on_crash: Called when the backend has crashed.
+      leaving: Whether it drains, and closes connections after answers.
       running: Number of requests that it runs.
     """
 
@@ -42,6 +43,7 @@
         self.truncate: Callable[[wire.Message], bool] = lambda request: False
         self.crashes: Callable[[wire.Message], bool] = lambda request: False
         self.on_crash: Callable[[], None] = lambda: None
+        self.leaving = False
         self.running = 0
         self._record = record
         self._body = body
@@ -87,7 +89,8 @@
             pass
         finally:
             self._writers.discard(writer)
-            writer.transport.abort()
+            # Flushes what was written, unless the connection is gone.
+            writer.close()
 
     async def _answer(self, request, writer) -> bool:
         """Runs and answers a request; returns whether to keep on."""
@@ -114,6 +117,9 @@
         finally:
             self.running -= 1
         body = self._body(request)
+        keep_on = not self.leaving
+        if not keep_on:
+            headers["Connection"] = "close"
         headers[wire.SEAL] = f"{len(body):x}.{attempt_id}"
         encoded = wire.encode_response(200, headers, body)
         if self.truncate(request):
@@ -129,4 +135,4 @@
             writer.write(encoded[start : start + PIECE_BYTES])
             await writer.drain()
         self._record.add("answered", self.instance, request)
-        return True
+        return keep_on
--- a/review/standins/machines.py
+++ b/review/standins/machines.py
@@ -112,7 +112,7 @@
             + [m.daemon_host for m in self.machines]
         )
         self.slots = slots
-        self._seq = 0
+        self._seqs: dict[str, int] = {}
         self._born: dict[str, int] = {}
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self._role = tomllib.loads(
@@ -145,9 +145,11 @@
         self, instance: str, machine: Machine, state: str = "ready"
     ) -> None:
         """Writes the entry of a backend; the return is the acknowledgement."""
-        self._seq += 1
         if state == "ready":
+            # The backend has just started, so that its counts begin anew.
             self._born[instance] = int(time.time() * 1000)
+            self._seqs[instance] = 0
+        self._seqs[instance] += 1
         await self.store.put(
             f"servers/{instance}",
             {
@@ -158,11 +160,15 @@
                 "slots": self.slots,
                 "state": state,
                 "cold_left_s": 0,
-                "seq": self._seq,
+                "seq": self._seqs[instance],
                 "born": self._born[instance],
             },
         )
 
+    async def remove_entry(self, instance: str) -> None:
+        """Removes the entry of a backend that has left or gone silent."""
+        await self.store.delete(f"servers/{instance}")
+
     def start_daemon(self, machine: Machine) -> None:
         """Starts a daemon with the command of the deploy file."""
         template = (ROOT / self._role["template"]).read_text(encoding="utf-8")
--- a/review/standins/proxy.py
+++ b/review/standins/proxy.py
@@ -10,12 +10,14 @@
     Attributes:
       silent: Whether its bytes are discarded in both directions.
       frozen: Whether it is left open towards the client when the server ends.
+      owed: Whether the client has sent bytes that were never acknowledged.
     """
 
     def __init__(self, writers: list[asyncio.StreamWriter]):
         self.writers = writers
         self.silent = False
         self.frozen = False
+        self.owed = False
 
     def abort(self) -> None:
         for writer in self.writers:
@@ -57,6 +59,16 @@
         for link in self._links:
             link.silent = link.frozen = True
 
+    def regain_power(self) -> None:
+        """The machine answers again; it knows nothing of old connections.
+
+        It resets those on which bytes are sent once more, or newly.
+        """
+        self.dark = False
+        for link in list(self._links):
+            if link.owed:
+                link.abort()
+
     async def _serve(self, reader, writer) -> None:
         link = _Link([writer])
         self._links.add(link)
@@ -85,6 +97,10 @@
                 if not link.silent:
                     writer.write(data)
                     await writer.drain()
+                elif link.frozen and not from_server:
+                    link.owed = True
+                    if not self.dark:
+                        link.abort()
         if link.frozen and from_server:
             return
         with contextlib.suppress(OSError):
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -48,6 +48,17 @@
         async with self._changed:
             self._changed.notify_all()
 
+    async def delete(self, key: str) -> None:
+        """Removes an item; does nothing if there is none."""
+        if self._items.pop(key, None) is None:
+            return
+        self._revision += 1
+        self._events.append(
+            {"key": key, "rev": self._revision, "is_gone": True}
+        )
+        async with self._changed:
+            self._changed.notify_all()
+
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
         try:
