mesh: tell a send to an earlier process as unknown, not as barred

What callers saw: a VM lost its power for 0.3 s while its target ran an order. The order ran again at another target and was answered 200; where the others had no room it was answered 503 with Retry-After though it had run.

Cause: Runner.inquire() barred any send without a record and answered "has not run and never will". A daemon that has started after the send has no records at all, and one that has discarded a record by its age (60 s) has none either. Neither the send nor the inquiry named the process that they were meant for.

The change: records of at-most-once sends belong to generations, named by the incarnation of the daemon and a number. The Pong that precedes each such run names the current one; the run and a later inquiry carry it. Without records of that generation the outcome is unknown (RECORD_LOST, 502), and a run that names it is not started. The reply to an inquiry repeats the generation, so that a bar of a daemon of the former version, which cannot know better, is not believed; its inquiries are answered only from what has run here. No clock and no delay is involved. A generation is discarded by age or number of records, which now makes an outcome unknown instead of "not run". IDs of sends contain the incarnation of the sender, whose count begins anew after a restart.

--- a/mimosahaven/codes.py
+++ b/mimosahaven/codes.py
@@ -57,6 +57,7 @@
     STILL_RUNNING = 4006
     KEY_UNSETTLED = 4007
     ACTION_EXPIRED = 4008
+    RECORD_LOST = 4009
 
     SETTINGS_INVALID = 5001
     TABLE_INVALID = 5002
@@ -172,6 +173,9 @@
     Code.ACTION_EXPIRED: _unknown(
         409, "The action id is too old; not run again."
     ),
+    Code.RECORD_LOST: _unknown(
+        502, "The daemon of the target has no record of the call any more."
+    ),
     Code.SETTINGS_INVALID: _refusal(500, "The settings are invalid."),
     Code.TABLE_INVALID: _refusal(500, "The table is invalid."),
     Code.TABLE_OLDER: _refusal(
--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -13,6 +13,7 @@
 from mimosahaven import errorlog
 from mimosahaven import errors
 from mimosahaven import gctuning
+from mimosahaven import identity
 from mimosahaven import logsink
 from mimosahaven import pause as pause_lib
 from mimosahaven import shedding
@@ -67,8 +68,14 @@
             settings.slots_default, now_ms
         )
         self.in_flight = inflight_lib.InFlightRequests()
+        self.incarnation = identity.new_incarnation(rng)
         self.runner = runner_lib.Runner(
-            settings, self.admission, self.in_flight, self.tasks, now_ms
+            settings,
+            self.admission,
+            self.in_flight,
+            self.tasks,
+            self.incarnation,
+            now_ms,
         )
         self.runner.monitor.notify_service = self._notify_service
         self.runner.on_leaving = self._on_target_leaving
@@ -109,6 +116,7 @@
             self.budget,
             self.log,
             rng,
+            self.incarnation,
         )
         self._caller_connections: set[callerserver.CallerConnection] = set()
         # Replies to other daemons that are being written.
@@ -259,7 +267,10 @@
           ListenError: Listening on an address failed.
         """
         self._servers = await listeners.open_all(self)
-        self.log.event("started", f"{self.settings.service}")
+        self.log.event(
+            "started",
+            f"{self.settings.service}, incarnation {self.incarnation}",
+        )
         self.tasks.spawn(self.store_watch.run())
         self.tasks.spawn(self.replica.fetch_from_seeds())
         self.tasks.spawn(self._run_ticks())
--- a/mimosahaven/mesh/frames.py
+++ b/mimosahaven/mesh/frames.py
@@ -55,6 +55,18 @@
     list_revision: int
 
 
+class RecordGeneration(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """Generation of the records that a daemon keeps of at-most-once sends.
+
+    Attributes:
+      incarnation: Incarnation of the daemon; a restarted daemon has another.
+      number: Number of the generation within the incarnation.
+    """
+
+    incarnation: str
+    number: int
+
+
 class _Frame(msgspec.Struct, array_like=True, tag=True):
     pass
 
@@ -82,6 +94,8 @@
       list_revision: Revision of the target list at the sender.
       rate_limit_per_s: Rate limit of the target in the latest response of it
         that the sender has passed on; None for no limit.
+      generation: Generation of records in the Pong that preceded an
+        at-most-once run; None if there was none in it.
     """
 
     sender_host: str
@@ -101,6 +115,7 @@
     table_version: int
     list_revision: int
     rate_limit_per_s: float | None = None
+    generation: RecordGeneration | None = None
 
 
 class Accepted(_Frame):
@@ -156,11 +171,14 @@
       code: Result code.
       arrived: Whether the target itself refused it.
       load: Load of the target.
+      generation: In reply to an Inquire, the generation of the records that
+        show it; None if there are no such records.
     """
 
     code: int
     arrived: bool
     load: Load
+    generation: RecordGeneration | None = None
 
 
 class Failed(_Frame):
@@ -183,19 +201,31 @@
 
 
 class Pong(_Frame):
-    """Reply to a Ping."""
+    """Reply to a Ping.
+
+    Attributes:
+      load: Load of the target.
+      generation: Current generation of the records of at-most-once sends.
+    """
 
     load: Load
+    generation: RecordGeneration | None = None
 
 
 class Inquire(_Frame):
     """Requests the outcome of a send.
 
     If the send has not arrived, the receiver bars it: it refuses the run if it
-    arrives later.
+    arrives later. A receiver that no longer has the records of the generation
+    cannot tell whether the send has arrived.
+
+    Attributes:
+      send_id: ID of the send.
+      generation: Generation of records that the send named.
     """
 
     send_id: str
+    generation: RecordGeneration | None = None
 
 
 class Fetch(_Frame):
--- a/mimosahaven/mesh/outbound.py
+++ b/mimosahaven/mesh/outbound.py
@@ -74,6 +74,7 @@
         budget: retrybudget.RetryBudget,
         log: eventlog.EventLog,
         rng: random.Random,
+        incarnation: str,
     ):
         self._settings = settings
         self._replica = replica
@@ -94,6 +95,8 @@
         self._announcements = announcements.PassedOnAnnouncements(
             settings.headers, replica.mark_leaving
         )
+        # A restarted daemon must not use the IDs of earlier sends again.
+        self._send_id_suffix = f"{settings.vm}#{incarnation}"
         self._send_count = 0
         self._unavailable_since_ms: dict[str, float] = {}
         self._durations = durations.RouteDurations()
@@ -300,7 +303,7 @@
         parent = context.parent
         run = frames.Run(
             self._settings.target.host,
-            f"{context.attempt_id}#{self._settings.vm}#{self._send_count}",
+            f"{context.attempt_id}#{self._send_id_suffix}#{self._send_count}",
             context.attempt_id,
             target.target_id,
             context.route.at_most_once,
@@ -353,6 +356,11 @@
                 if outcome.code is Code.LINK_LOST:
                     balancer.set_unreachable(target.host, now_ms)
                     self._peers.close_idle(target.host)
+                elif outcome.code is Code.RECORD_LOST:
+                    # The daemon has restarted; the target may be sound.
+                    state = balancer.state(target)
+                    state.avoid_until_ms = now_ms + UNAVAILABLE_AVOID_MS
+                    self._peers.close_idle(target.host)
                 else:
                     balancer.record_result(target.host, True, now_ms)
         if not isinstance(outcome, outcomes.Answered):
--- a/mimosahaven/mesh/peerpool.py
+++ b/mimosahaven/mesh/peerpool.py
@@ -205,6 +205,7 @@
                 raise
             if isinstance(frame, frames.Pong):
                 self._on_load(host, frame.load)
+                run.generation = frame.generation
                 return connection
             connection.close()
             return None
@@ -243,7 +244,9 @@
         """
         connection.send(request)
         try:
-            outcome = await self._await_outcome(host, connection, deadline_ms)
+            outcome = await self._await_outcome(
+                host, connection, request, deadline_ms
+            )
         except peerconnection.PeerConnectionLostError:
             connection.close()
             raise
@@ -258,6 +261,7 @@
         self,
         host: str,
         connection: peerconnection.PeerConnection,
+        request: frames.Run | frames.Inquire,
         deadline_ms: float,
     ) -> outcomes.Outcome:
         timeout_ms = self._settings.accept_timeout_ms
@@ -277,6 +281,8 @@
                     return outcomes.Answered(stream)
                 case frames.Refused():
                     self._on_load(host, frame.load)
+                    if not _is_proved(frame, request):
+                        return outcomes.Failed(Code.RECORD_LOST)
                     return outcomes.Refused(Code(frame.code), frame.arrived)
                 case frames.Failed():
                     self._on_load(host, frame.load)
@@ -288,7 +294,7 @@
         """Requests the outcome of an at-most-once run from the peer.
 
         If the run has not arrived, the peer bars it, so that the request may be
-        sent to another target.
+        sent to another target. A peer that has restarted since cannot tell.
         """
         connection = await self._open(host)
         if connection is None:
@@ -298,7 +304,7 @@
             return await self._exchange(
                 host,
                 connection,
-                frames.Inquire(send.run.send_id),
+                frames.Inquire(send.run.send_id, send.run.generation),
                 max(send.deadline_ms, min_deadline_ms),
             )
         except peerconnection.PeerConnectionLostError:
@@ -329,6 +335,22 @@
             self._idle.setdefault(host, collections.deque()).append(connection)
 
 
+def _is_proved(
+    reply: frames.Refused, request: frames.Run | frames.Inquire
+) -> bool:
+    """Returns whether a refusal rests on the records of the send.
+
+    A daemon of a version without generations bars any send that it has no
+    record of, even if an earlier incarnation may have run it.
+    """
+    if isinstance(request, frames.Run):
+        return True
+    return (
+        request.generation is not None
+        and reply.generation == request.generation
+    )
+
+
 def _response_stream(
     frame: frames.Answer, connection: peerconnection.PeerConnection
 ) -> responsestream.ResponseStream:
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import typing
+from collections.abc import Awaitable
 
 from mimosahaven import clock
 from mimosahaven import codes
@@ -107,10 +108,14 @@
                     frame.table_version,
                     frame.list_revision,
                 )
-                self._write(frames.Pong(handler.load()))
+                self._write(
+                    frames.Pong(
+                        handler.load(), handler.runner.send_records.current
+                    )
+                )
             case frames.Inquire():
                 self._runs_past_disconnect = True
-                self._start(self._serve_inquiry(frame.send_id))
+                self._start(self._serve_inquiry(frame))
             case frames.Fetch():
                 self._write(handler.state_newer_than(frame))
             case frames.Crash():
@@ -152,10 +157,16 @@
         )
         await self._serve(self._handler.runner.run(send))
 
-    async def _serve_inquiry(self, send_id: str) -> None:
-        await self._serve(self._handler.runner.inquire(send_id))
+    async def _serve_inquiry(self, inquiry: frames.Inquire) -> None:
+        await self._serve(
+            self._handler.runner.inquire(inquiry), inquiry.generation
+        )
 
-    async def _serve(self, awaitable) -> None:
+    async def _serve(
+        self,
+        awaitable: Awaitable[outcomes.Outcome],
+        generation: frames.RecordGeneration | None = None,
+    ) -> None:
         peer_settings = self._handler.settings.peers
         # Most runs end before this delay, which saves their confirmation.
         self._confirmation_timer = asyncio.get_running_loop().call_later(
@@ -167,7 +178,7 @@
             outcome = await awaitable
         finally:
             self._confirmation_timer.cancel()
-        await self._reply(outcome)
+        await self._reply(outcome, generation)
 
     def _send_confirmation(self, interval_s: float) -> None:
         self._write(frames.Accepted(self._handler.load()))
@@ -175,19 +186,29 @@
             interval_s, self._send_confirmation, interval_s
         )
 
-    async def _reply(self, outcome: outcomes.Outcome) -> None:
+    async def _reply(
+        self,
+        outcome: outcomes.Outcome,
+        generation: frames.RecordGeneration | None = None,
+    ) -> None:
         self._handler.peer_reply_count += 1
         try:
-            await self._write_outcome(outcome)
+            await self._write_outcome(outcome, generation)
         finally:
             self._handler.peer_reply_count -= 1
 
-    async def _write_outcome(self, outcome: outcomes.Outcome) -> None:
+    async def _write_outcome(
+        self,
+        outcome: outcomes.Outcome,
+        generation: frames.RecordGeneration | None,
+    ) -> None:
         load = self._handler.load()
         match outcome:
             case outcomes.Refused():
                 self._write(
-                    frames.Refused(int(outcome.code), outcome.arrived, load)
+                    frames.Refused(
+                        int(outcome.code), outcome.arrived, load, generation
+                    )
                 )
             case outcomes.Failed():
                 self._write(frames.Failed(int(outcome.code), load))
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -1,8 +1,6 @@
 """Runs requests on the local target."""
 
 import asyncio
-import collections
-import dataclasses
 import functools
 from collections.abc import Callable
 
@@ -18,6 +16,7 @@
 from mimosahaven.mesh import inflight as inflight_lib
 from mimosahaven.mesh import outcomes
 from mimosahaven.mesh import responsestream
+from mimosahaven.mesh import sendrecords
 from mimosahaven.mesh import settings as settings_lib
 from mimosahaven.mesh import targetmonitor
 
@@ -29,27 +28,11 @@
 # A response that is being streamed at the deadline may still end until then. A
 # caller takes a late response, but a target may send without an end.
 STREAM_SLACK_MS = 1_000.0
-# Records of at-most-once sends are kept this long. No request lasts longer.
-AT_MOST_ONCE_RETENTION_MS = 60_000.0
 STATUS_MISDIRECTED = 421
 # Statuses by which a caller understands that its request has not run.
 NOT_RUN_STATUSES = frozenset({408, STATUS_MISDIRECTED, 429, 503})
 
 
-@dataclasses.dataclass(slots=True)
-class _AtMostOnceSend:
-    """Record of an at-most-once send.
-
-    Attributes:
-      at_ms: When the send arrived or was barred.
-      outcome: Future of its outcome; None if the send is barred, that is,
-        refused should it still arrive.
-    """
-
-    at_ms: float
-    outcome: asyncio.Future | None
-
-
 class Runner:
     """Runs requests on the local target, subject to admission control.
 
@@ -58,10 +41,12 @@
       admission: Admission control of the target.
       in_flight: Running requests, to which calls of the target are attributed.
       tasks: Runs the probes of an unresponsive target.
+      incarnation: Incarnation of the daemon.
       now_ms: Current time.
 
     Attributes:
       pool: Connections to the target.
+      send_records: Records of the at-most-once sends.
       monitor: Finds out whether the target responds, or has crashed.
       announced: Latest announcement of the target; None before its first
         response to this daemon.
@@ -78,6 +63,7 @@
         admission: admission_lib.AdmissionController,
         in_flight: inflight_lib.InFlightRequests,
         tasks: tasks_lib.BackgroundTasks,
+        incarnation: str,
         now_ms: float,
     ):
         self._settings = settings
@@ -106,9 +92,7 @@
             admission_lib.AdmissionRequest, asyncio.Future
         ] = {}
         self._running: dict[httpclient.ClientConnection, frames.Run] = {}
-        self._at_most_once_sends: collections.OrderedDict[
-            str, _AtMostOnceSend
-        ] = collections.OrderedDict()
+        self.send_records = sendrecords.SendRecords(incarnation, now_ms)
         self._announcement_reader = announcements.AnnouncementReader(
             settings.headers
         )
@@ -136,31 +120,29 @@
             return outcomes.Refused(Code.QUARANTINED)
         if not send.run.once:
             return await self._admit_and_run(send)
-        send_id = send.run.send_id
-        if send_id in self._at_most_once_sends:
-            return outcomes.Refused(Code.BARRED)
-        entry = _AtMostOnceSend(
-            now_ms, asyncio.get_running_loop().create_future()
+        recorded = asyncio.get_running_loop().create_future()
+        arrival = self.send_records.add(
+            send.run.send_id, send.run.generation, recorded
         )
-        self._at_most_once_sends[send_id] = entry
+        if arrival is sendrecords.Arrival.BARRED:
+            return outcomes.Refused(Code.BARRED)
+        if arrival is not sendrecords.Arrival.NEW:
+            return outcomes.Failed(Code.RECORD_LOST)
         outcome: outcomes.Outcome = outcomes.Failed(Code.TARGET_LOST)
         try:
             outcome = await self._admit_and_run(send)
         finally:
-            entry.outcome.set_result(outcome)
+            recorded.set_result(outcome)
         return outcome
 
-    async def inquire(self, send_id: str) -> outcomes.Outcome:
+    async def inquire(self, inquiry: frames.Inquire) -> outcomes.Outcome:
         """Returns the outcome of a send; bars it if it has not arrived."""
-        entry = self._at_most_once_sends.get(send_id)
-        if entry is None:
-            self._at_most_once_sends[send_id] = _AtMostOnceSend(
-                clock.monotonic_ms(), None
-            )
-            return outcomes.Refused(Code.BARRED)
-        if entry.outcome is None:
+        record = self.send_records.inquire(inquiry.send_id, inquiry.generation)
+        if record is None:
+            return outcomes.Failed(Code.RECORD_LOST)
+        if record.outcome is None:
             return outcomes.Refused(Code.BARRED)
-        return await asyncio.shield(entry.outcome)
+        return await asyncio.shield(record.outcome)
 
     def tick(self, now_ms: float) -> None:
         """Does the periodic work.
@@ -171,12 +153,7 @@
         self._apply_decisions(self.admission.tick(now_ms))
         self.pool.expire(now_ms)
         self.monitor.tick(len(self.in_flight), now_ms)
-        entries = self._at_most_once_sends
-        while entries:
-            send_id, entry = next(iter(entries.items()))
-            if now_ms - entry.at_ms < AT_MOST_ONCE_RETENTION_MS:
-                break
-            del entries[send_id]
+        self.send_records.tick(now_ms)
 
     async def _admit_and_run(self, send: outcomes.Send) -> outcomes.Outcome:
         now_ms = clock.monotonic_ms()
--- a/tests/mesh/test_frames.py
+++ b/tests/mesh/test_frames.py
@@ -61,6 +61,23 @@
         (answer,) = frames.FrameDecoder().feed(data)
         self.assertEqual({}, answer.slot_ms)
 
+    def test_frames_of_a_daemon_without_generations_are_accepted(self):
+        load = msgspec.to_builtins(samples.load())
+        for fields in (["Pong", load], ["Inquire", "a#1"]):
+            body = msgspec.msgpack.encode(fields)
+            data = len(body).to_bytes(4, "big") + body
+            (frame,) = frames.FrameDecoder().feed(data)
+            self.assertIsNone(frame.generation)
+
+    def test_a_daemon_without_generations_accepts_frames_with_them(self):
+        class FormerInquire(msgspec.Struct, array_like=True, tag="Inquire"):
+            send_id: str
+
+        generation = frames.RecordGeneration("a", 1)
+        data = frames.encode(frames.Inquire("a#1", generation))
+        former = msgspec.msgpack.decode(data[4:], type=FormerInquire)
+        self.assertEqual("a#1", former.send_id)
+
     def test_invalid_data_is_an_error(self):
         for data in (b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\1\xc1"):
             decoder = frames.FrameDecoder()
