mesh: decide when a run starts whether its target has left

They had waited in a daemon's queue while its target drained, were started up to 0.49 s after the end of drain_s, and were cut off when the target exited.

Cause: the drain was checked when a run arrived from another daemon. What waited in the queue of admission control, for the rate limit or for a connection was not checked again, and runs of the local daemon never were.

The change: admission control asks TargetDrain at each start. Runs start until 0.5 s before the end of drain_s; while another target of the service serves, only those that will probably have ended when the target may exit. What will not start in time is refused as not run at once, lowest priority first, so that it has time to run elsewhere. The next daemon lets it exceed the length of its queue if it will be served before its deadline. These refusals do not reach a target and cost no retry.

tests/mesh/test_targetdrain.py asked refuses_runs(), which is gone; its cases now ask for the time until which runs start, and two more cases were added.

--- a/mimosahaven/mesh/admission.py
+++ b/mimosahaven/mesh/admission.py
@@ -9,6 +9,7 @@
 the request is shed at the entry.
 """
 
+import collections
 import dataclasses
 import math
 
@@ -16,7 +17,9 @@
 from mimosahaven import codes
 from mimosahaven import identity
 from mimosahaven import loadstats
+from mimosahaven.mesh import durations
 from mimosahaven.mesh import ratelimit
+from mimosahaven.mesh import targetdrain
 from mimosahaven.mesh import thresholdcontrol
 
 Code = codes.Code
@@ -51,6 +54,7 @@
       shed_priority: Shedding priority of the root request.
       deadline_ms: Time by which the run must have ended.
       root_ms: Start time of the root request.
+      rerouted: Whether a target that leaves has refused the run before.
       priority: Priority in the queue; higher runs first.
       important: Required by the queue but unused here; the priority alone
         decides.
@@ -59,6 +63,7 @@
     shed_priority: int
     deadline_ms: float
     root_ms: float
+    rerouted: bool = False
     priority: float = 0.0
     important: bool = False
 
@@ -80,14 +85,29 @@
 class AdmissionController:
     """Admits runs to the local target.
 
+    Args:
+      slots: Number of requests that the target processes at a time.
+      now_ms: Current time.
+      drain: Tells until when runs may start; None for no limit.
+
     Attributes:
       running: Number of runs in progress at the target.
       slots: Number of requests that the target processes at a time.
       limit: Maximum number of runs in progress.
     """
 
-    def __init__(self, slots: int, now_ms: float):
+    def __init__(
+        self,
+        slots: int,
+        now_ms: float,
+        drain: targetdrain.TargetDrain | None = None,
+    ):
         self.running = 0
+        self._drain = drain or targetdrain.TargetDrain(math.inf)
+        self._durations = durations.DurationEstimate()
+        # Start times of the runs in progress, oldest first. A run that ends is
+        # taken for the oldest one.
+        self._start_times_ms: collections.deque[float] = collections.deque()
         self._rate_limiter = ratelimit.TargetRateLimiter()
         self._queue = admissionqueue.AdmissionQueue()
         self._service_time = loadstats.ServiceTimeEstimate()
@@ -175,6 +195,9 @@
         if request.deadline_ms - now_ms <= self._service_time.expected_ms:
             decisions.refused.append((request, Code.DEADLINE_BEFORE_RUN))
             return decisions
+        # A rerouted run may exceed the capacity of the queue, but not if it
+        # would wait there in vain.
+        request.rerouted &= not self._is_too_late(request, now_ms)
         self._threshold.record(request.shed_priority, now_ms - request.root_ms)
         self._window.accepted += 1
         self._queue.add(request)
@@ -193,9 +216,11 @@
         """
         self._advance_window(now_ms)
         self.running -= 1
+        self._start_times_ms.popleft()
         self._window.finished += 1
         if service_ms is not None:
             self._service_time.update(service_ms)
+            self._durations.record(service_ms)
             self._finished_ms = now_ms
         decisions = AdmissionDecisions()
         self._dispatch(decisions, now_ms)
@@ -224,22 +249,76 @@
             return
         for request in queue.expired(now_ms + self._service_time.expected_ms):
             self._reject(request, Code.DEADLINE_BEFORE_RUN, decisions)
+        start_until_ms = self._start_until_ms()
         while (
             self.running < self.limit
             and len(queue)
+            and now_ms <= start_until_ms
             and self._rate_limiter.try_acquire(now_ms)
         ):
             request = queue.peek_highest()
             queue.remove(request)
             self.running += 1
+            self._start_times_ms.append(now_ms)
             self._window.started += 1
             decisions.run.append(request)
+        if start_until_ms < math.inf:
+            self._refuse_surplus(start_until_ms, now_ms, decisions)
         queue_max = math.ceil(self.usable_limit * QUEUE_FACTOR)
+        if len(queue) > queue_max:
+            queue_max += sum(request.rerouted for request in queue)
         while len(queue) > queue_max:
             request = queue.peek_lowest()
             code = Code.QUEUE_FULL if request is new else Code.DISPLACED
             self._reject(request, code, decisions)
 
+    def may_start(self, now_ms: float) -> bool:
+        """Returns whether an admitted run may still be sent to the target."""
+        return now_ms <= self._drain.start_until_ms(0.0)
+
+    def _start_until_ms(self) -> float:
+        return self._drain.start_until_ms(self._durations.upper_ms or 0.0)
+
+    def _refuse_surplus(
+        self,
+        start_until_ms: float,
+        now_ms: float,
+        decisions: AdmissionDecisions,
+    ) -> None:
+        """Refuses the runs that will not start before the target leaves.
+
+        They are refused at once, the lowest priority first, so that they have
+        time to run elsewhere.
+        """
+        startable = self._startable_until(start_until_ms, now_ms)
+        while len(self._queue) > startable:
+            self._reject(self._queue.peek_lowest(), Code.LEAVING, decisions)
+
+    def _startable_until(self, until_ms: float, now_ms: float) -> float:
+        """Returns how many queued runs will have started by a time."""
+        if now_ms > until_ms:
+            return 0
+        if self._durations.mean_ms is None:
+            return math.inf
+        mean_ms = max(1.0, self._durations.mean_ms)
+        free_slots = self.limit - self.running
+        starts = free_slots * (1 + (until_ms - now_ms) // mean_ms)
+        # A slot becomes free each time that a run in it ends.
+        starts += sum(
+            max(0.0, until_ms - start_ms) // mean_ms
+            for start_ms in self._start_times_ms
+        )
+        rate_per_s = self.rate_limit_per_s
+        if rate_per_s is None:
+            return starts
+        return min(starts, math.ceil((until_ms - now_ms) * rate_per_s / 1000))
+
+    def _is_too_late(self, request: AdmissionRequest, now_ms: float) -> bool:
+        """Returns whether a run would wait in the queue beyond its deadline."""
+        mean_ms = self._durations.mean_ms or 0.0
+        rounds = 1 + len(self._queue) / self.usable_limit
+        return now_ms + rounds * mean_ms > request.deadline_ms
+
     def _reject(
         self,
         request: AdmissionRequest,
@@ -247,7 +326,9 @@
         decisions: AdmissionDecisions,
     ) -> None:
         self._queue.remove(request)
-        self._window.queue_refusals += 1
+        if code is not Code.LEAVING:
+            # A drain says nothing about the load.
+            self._window.queue_refusals += 1
         decisions.refused.append((request, code))
 
     def _advance_window(self, now_ms: float) -> None:
--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -63,9 +63,11 @@
         )
         now_ms = clock.monotonic_ms()
         self.pause_detector = pause_lib.PauseDetector(settings)
-        self.target_drain = targetdrain_lib.TargetDrain()
+        self.target_drain = targetdrain_lib.TargetDrain(
+            settings.bounds.drain_s * 1000
+        )
         self.admission = admission_lib.AdmissionController(
-            settings.slots_default, now_ms
+            settings.slots_default, now_ms, self.target_drain
         )
         self.in_flight = inflight_lib.InFlightRequests()
         self.incarnation = identity.new_incarnation(rng)
@@ -178,8 +180,6 @@
         self._check_pause(now_ms)
         if self.pause_detector.refuses_new_calls(now_ms):
             return Code.STALE_AFTER_PAUSE
-        if self.target_drain.refuses_runs(now_ms):
-            return Code.LEAVING
         return None
 
     def state_newer_than(
@@ -257,6 +257,7 @@
             bounds.resend_window_s * 1000,
         )
         self.store_watch.bounds = bounds
+        self.target_drain.drain_ms = bounds.drain_s * 1000
         self.settings = msgspec.structs.replace(self.settings, bounds=bounds)
         self.log.event("settings read", str(bounds))
 
@@ -395,10 +396,21 @@
         local_target = directory.at_address(
             self.settings.target.host, self.settings.target.port
         )
-        self.target_drain.observe(
+        others = [
+            target
+            for target in directory.serving(self.settings.service)
+            if target.host != self.settings.target.host
+        ]
+        if self.target_drain.observe(
             local_target is not None and directory.is_serving(local_target),
+            bool(others),
             clock.monotonic_ms(),
-        )
+        ):
+            self.log.event(
+                "target draining",
+                f"{self.admission.running} running, "
+                f"{self.admission.waiting} waiting, {len(others)} others",
+            )
         if (
             local_target is not None
             and local_target.slots != self.admission.slots
--- a/mimosahaven/mesh/durations.py
+++ b/mimosahaven/mesh/durations.py
@@ -15,6 +15,18 @@
         self._mean_ms: float | None = None
         self._deviation_ms = 0.0
 
+    @property
+    def mean_ms(self) -> float | None:
+        """Moving mean, or None without any sample."""
+        return self._mean_ms
+
+    @property
+    def upper_ms(self) -> float | None:
+        """Duration that few requests exceed, or None without any sample."""
+        if self._mean_ms is None:
+            return None
+        return self._mean_ms + DEVIATIONS * self._deviation_ms
+
     def record(self, duration_ms: float) -> None:
         """Records the duration of a request that has ended."""
         if self._mean_ms is None:
@@ -36,9 +48,9 @@
           start_ms: When it starts.
           deadline_ms: Its deadline, by which it ends in any case.
         """
-        if self._mean_ms is None:
+        upper_ms = self.upper_ms
+        if upper_ms is None:
             return deadline_ms
-        upper_ms = self._mean_ms + DEVIATIONS * self._deviation_ms
         return min(deadline_ms, start_ms + upper_ms)
 
 
--- a/mimosahaven/mesh/frames.py
+++ b/mimosahaven/mesh/frames.py
@@ -96,6 +96,8 @@
         that the sender has passed on; None for no limit.
       generation: Generation of records in the Pong that preceded an
         at-most-once run; None if there was none in it.
+      rerouted: Whether the daemon of a target that leaves has refused the
+        request before.
     """
 
     sender_host: str
@@ -116,6 +118,7 @@
     list_revision: int
     rate_limit_per_s: float | None = None
     generation: RecordGeneration | None = None
+    rerouted: bool = False
 
 
 class Accepted(_Frame):
--- a/mimosahaven/mesh/outbound.py
+++ b/mimosahaven/mesh/outbound.py
@@ -242,7 +242,7 @@
                 await asyncio.sleep(
                     self._rng.uniform(0.5, 1.5) * SAME_TARGET_RETRY_DELAY_S
                 )
-            outcome = await self._send(context, target, bool(history.arrived))
+            outcome = await self._send(context, target, history)
             if isinstance(outcome, outcomes.Answered):
                 return self._respond(context, target, outcome)
             history.record(target.target_id, outcome)
@@ -297,7 +297,7 @@
         self,
         context: context_lib.RequestContext,
         target: records.Target,
-        is_retry: bool,
+        history: sendhistory.SendHistory,
     ) -> outcomes.Outcome:
         self._send_count += 1
         parent = context.parent
@@ -310,7 +310,7 @@
             context.priority,
             0.0,
             0.0,
-            is_retry or (parent is not None and parent.is_retry),
+            bool(history.arrived) or (parent is not None and parent.is_retry),
             self._settings.service,
             context.request.method,
             context.request.path,
@@ -319,6 +319,7 @@
             self._replica.table_version,
             self._replica.directory.revision,
             self._announcements.rate_limit_per_s(target),
+            rerouted=history.rerouted,
         )
         send = outcomes.Send(run, context.deadline_ms, context.root_ms)
         state = self._balancer.state(target)
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -159,7 +159,10 @@
         now_ms = clock.monotonic_ms()
         self._adopt_rate_limit(send.run.rate_limit_per_s, now_ms)
         admission_request = admission_lib.AdmissionRequest(
-            send.run.priority, send.deadline_ms, send.root_ms
+            send.run.priority,
+            send.deadline_ms,
+            send.root_ms,
+            send.run.rerouted,
         )
         decision = asyncio.get_running_loop().create_future()
         self._pending_decisions[admission_request] = decision
@@ -245,6 +248,9 @@
             now_ms = clock.monotonic_ms()
             if send.deadline_ms <= now_ms:
                 return outcomes.Refused(Code.DEADLINE_BEFORE_RUN)
+            if not self.admission.may_start(now_ms):
+                # The target has left while the connection was opened.
+                return outcomes.Refused(Code.LEAVING)
             self.in_flight.add(parent)
             self._running[connection] = run
             self.sent_count += 1
--- a/mimosahaven/mesh/sendhistory.py
+++ b/mimosahaven/mesh/sendhistory.py
@@ -28,6 +28,7 @@
       excluded: IDs of targets that must not be sent the request again, or
         whose daemon refused it.
       arrived: IDs of targets that the request has reached.
+      rerouted: Whether the daemon of a target that leaves has refused it.
     """
 
     def __init__(self, targets_max: int):
@@ -37,6 +38,7 @@
         self.send_count = 0
         self.excluded: set[str] = set()
         self.arrived: set[str] = set()
+        self.rerouted = False
 
     @property
     def is_exhausted(self) -> bool:
@@ -67,6 +69,8 @@
     ) -> None:
         """Records the outcome of a send that gave no response."""
         self.send_count += 1
+        if outcome.code is codes.Code.LEAVING:
+            self.rerouted = True
         if isinstance(outcome, outcomes.Failed) or outcome.arrived:
             self._arrived_count += 1
             self.arrived.add(target_id)
--- a/mimosahaven/mesh/settings.py
+++ b/mimosahaven/mesh/settings.py
@@ -82,6 +82,8 @@
 
     Attributes:
       grace_s: Time from SIGTERM to SIGKILL.
+      drain_s: Time for which a target goes on serving after it has reported
+        that it leaves.
       apply_s: Time within which a change of the routes must be in force.
       stable_s: Time after a disturbance from which on the bounds hold again.
       heartbeat_s: Interval at which targets renew their entries in the list.
@@ -91,6 +93,7 @@
     """
 
     grace_s: PositiveS = 6.0
+    drain_s: PositiveS = 2.0
     apply_s: PositiveS = 2.0
     stable_s: PositiveS = 3.0
     heartbeat_s: PositiveS = 1.5
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -56,12 +56,16 @@
       handlers: Request handler of each target; None for the default.
       routes: Routes of the table; None for one default route.
       slots: Requests that each target processes at a time.
+      bounds: Bounds that differ from the defaults of the settings.
     """
 
-    def __init__(self, services, handlers=None, routes=None, slots=10):
+    def __init__(
+        self, services, handlers=None, routes=None, slots=10, bounds=None
+    ):
         self._network = f"127.{os.getpid() % 250 + 1}.{next(_NETWORKS)}"
         self.hosts = [f"{self._network}.{i + 1}" for i in range(len(services))]
         self.services = services
+        self._bounds = bounds or {}
         handlers = handlers or [None] * len(services)
         self.targets = [rawtarget.RawTarget(handler) for handler in handlers]
         table = samples.table(*(routes or [samples.route()]))
@@ -113,6 +117,7 @@
                     "readiness": f"{host}:{READY_PORT}",
                 },
                 "store": {"endpoint": f"{host}:1"},
+                "bounds": self._bounds,
             },
             settings_lib.MeshSettings,
         )
--- a/tests/mesh/test_daemon.py
+++ b/tests/mesh/test_daemon.py
@@ -568,7 +568,7 @@
         async def scenario():
             async with fleet_lib.Fleet(["ordre", "katalog"]) as fleet:
                 target_drain = fleet.daemons[1].target_drain
-                target_drain.observe(False, clock.monotonic_ms() - 2_000)
+                target_drain.observe(False, False, clock.monotonic_ms() - 2_000)
                 status, _, _ = await fleet.send_request()
                 self.assertEqual(503, status)
                 self.assertEqual([], fleet.targets[1].requests)
@@ -595,8 +595,7 @@
                     draining = state == records.DRAINING_STATE
                     await fleet_lib.wait_until(
                         lambda draining=draining: (
-                            daemon.target_drain.refuses_runs(later_ms)
-                            == draining
+                            daemon.admission.may_start(later_ms) != draining
                         )
                     )
 
--- a/tests/mesh/test_leaving_fleet.py
+++ b/tests/mesh/test_leaving_fleet.py
@@ -42,7 +42,8 @@
         self.run_scenario(scenario)
 
     def test_the_targets_daemon_refuses_what_others_still_send(self):
-        self.patch(targetdrain, "DRAIN_GRACE_MS", 0.0)
+        # All of the drain is left as a margin.
+        self.patch(targetdrain, "LATENESS_MARGIN_MS", 60_000.0)
 
         async def scenario(fleet):
             status, _, _ = await fleet.send_request(1, attempt="a")
--- a/tests/mesh/test_targetdrain.py
+++ b/tests/mesh/test_targetdrain.py
@@ -1,8 +1,10 @@
+import math
+
 import testtools
 
 from mimosahaven.mesh import targetdrain
 
-DRAIN_GRACE_MS = targetdrain.DRAIN_GRACE_MS
+MARGIN_MS = targetdrain.LATENESS_MARGIN_MS
 
 
 class TargetDrainTest(testtools.TestCase):
@@ -13,24 +15,36 @@
 
     def setUp(self):
         super().setUp()
-        self.target_drain = targetdrain.TargetDrain()
-
-    def test_runs_are_refused_after_the_grace_period(self):
-        self.target_drain.observe(True, 0.0)
-        self.assertFalse(self.target_drain.refuses_runs(9_000.0))
-        self.target_drain.observe(False, 9_000.0)
-        self.target_drain.observe(False, 9_000.0 + DRAIN_GRACE_MS)
-        self.assertFalse(
-            self.target_drain.refuses_runs(9_000.0 + DRAIN_GRACE_MS)
-        )
-        self.assertTrue(
-            self.target_drain.refuses_runs(9_001.0 + DRAIN_GRACE_MS)
+        self.drain = targetdrain.TargetDrain(2_000.0)
+
+    def test_runs_start_until_shortly_before_the_end_of_the_drain(self):
+        for drain_ms in (400.0, 2_000.0, 2_500.0, 10_000.0):
+            drain = targetdrain.TargetDrain(drain_ms)
+            drain.observe(True, True, 0.0)
+            self.assertEqual(math.inf, drain.start_until_ms(0.0))
+            self.assertTrue(drain.observe(False, True, 9_000.0))
+            # What follows does not prolong it.
+            self.assertFalse(drain.observe(False, True, 9_100.0))
+            self.assertEqual(
+                9_000.0 + max(0.0, drain_ms - MARGIN_MS),
+                drain.start_until_ms(0.0),
+            )
+
+    def test_runs_are_to_end_before_the_target_may_exit(self):
+        self.drain.observe(False, True, 0.0)
+        self.assertEqual(700.0, self.drain.start_until_ms(1_300.0))
+        self.assertEqual(0.0, self.drain.start_until_ms(5_000.0))
+
+    def test_without_another_target_runs_may_be_cut_off(self):
+        self.drain.observe(False, False, 0.0)
+        self.assertEqual(
+            2_000.0 - MARGIN_MS, self.drain.start_until_ms(1_800.0)
         )
 
     def test_returning_target_accepts_runs_immediately(self):
-        self.target_drain.observe(False, 0.0)
-        self.target_drain.observe(True, 5_000.0)
-        self.assertFalse(self.target_drain.refuses_runs(5_000.0))
+        self.drain.observe(False, True, 0.0)
+        self.assertFalse(self.drain.observe(True, True, 5_000.0))
+        self.assertEqual(math.inf, self.drain.start_until_ms(0.0))
 
     def test_nothing_is_refused_before_the_first_list(self):
-        self.assertFalse(self.target_drain.refuses_runs(9_000.0))
+        self.assertEqual(math.inf, self.drain.start_until_ms(0.0))
