mesh: refuse queued runs that would outlast a planned stop

What callers saw: at SIGTERM of a daemon with runs of other daemons in its queue, orders that never ran, or were started too late to end in time, got 502.

Cause: the end of the stop was checked when a run arrived, and not for what waited already.

The change: admission control knows the end of the stop as it knows the end of a drain, and refuses at once what will not have ended by then. Without any sample of run times, a run may last until its deadline, in both cases.

--- a/mimosahaven/mesh/admission.py
+++ b/mimosahaven/mesh/admission.py
@@ -94,6 +94,7 @@
       running: Number of runs in progress at the target.
       slots: Number of requests that the target processes at a time.
       limit: Maximum number of runs in progress.
+      stop_ms: Time at which the daemon stops serving, or None.
     """
 
     def __init__(
@@ -103,6 +104,7 @@
         drain: targetdrain.TargetDrain | None = None,
     ):
         self.running = 0
+        self.stop_ms: float | None = None
         self._drain = drain or targetdrain.TargetDrain(math.inf)
         self._durations = durations.DurationEstimate()
         # Start times of the runs in progress, oldest first. A run that ends is
@@ -249,11 +251,11 @@
             return
         for request in queue.expired(now_ms + self._service_time.expected_ms):
             self._reject(request, Code.DEADLINE_BEFORE_RUN, decisions)
-        start_until_ms = self._start_until_ms()
+        if self._is_closing:
+            self._refuse_surplus(decisions, now_ms)
         while (
             self.running < self.limit
             and len(queue)
-            and now_ms <= start_until_ms
             and self._rate_limiter.try_acquire(now_ms)
         ):
             request = queue.peek_highest()
@@ -262,8 +264,6 @@
             self._start_times_ms.append(now_ms)
             self._window.started += 1
             decisions.run.append(request)
-        if start_until_ms < math.inf:
-            self._refuse_surplus(start_until_ms, now_ms, decisions)
         queue_max = math.ceil(self.usable_limit * QUEUE_FACTOR)
         if len(queue) > queue_max:
             queue_max += sum(request.rerouted for request in queue)
@@ -274,35 +274,46 @@
 
     def may_start(self, now_ms: float) -> bool:
         """Returns whether an admitted run may still be sent to the target."""
-        return now_ms <= self._drain.start_until_ms(0.0)
+        return now_ms <= self._drain.start_until_ms
 
-    def _start_until_ms(self) -> float:
-        return self._drain.start_until_ms(self._durations.upper_ms or 0.0)
+    @property
+    def _is_closing(self) -> bool:
+        return self._end_by_ms < math.inf or (
+            self._drain.start_until_ms < math.inf
+        )
+
+    @property
+    def _end_by_ms(self) -> float:
+        """Time by which a run has to end, so that it is not cut off."""
+        stop_ms = math.inf if self.stop_ms is None else self.stop_ms
+        return min(stop_ms, self._drain.end_by_ms)
 
     def _refuse_surplus(
-        self,
-        start_until_ms: float,
-        now_ms: float,
-        decisions: AdmissionDecisions,
+        self, decisions: AdmissionDecisions, now_ms: float
     ) -> None:
-        """Refuses the runs that will not start before the target leaves.
+        """Refuses the runs that will not start or end in time.
 
         They are refused at once, the lowest priority first, so that they have
         time to run elsewhere.
         """
-        startable = self._startable_until(start_until_ms, now_ms)
+        for request in list(self._queue):
+            end_ms = self._durations.latest_end_ms(now_ms, request.deadline_ms)
+            if not self.may_start(now_ms) or end_ms > self._end_by_ms:
+                self._reject(request, Code.LEAVING, decisions)
+        startable = self._startable_count(now_ms)
         while len(self._queue) > startable:
             self._reject(self._queue.peek_lowest(), Code.LEAVING, decisions)
 
-    def _startable_until(self, until_ms: float, now_ms: float) -> float:
-        """Returns how many queued runs will have started by a time."""
-        if now_ms > until_ms:
-            return 0
-        if self._durations.mean_ms is None:
+    def _startable_count(self, now_ms: float) -> float:
+        """Returns how many queued runs will have started in time."""
+        mean_ms, upper_ms = self._durations.mean_ms, self._durations.upper_ms
+        if mean_ms is None:
             return math.inf
-        mean_ms = max(1.0, self._durations.mean_ms)
+        until_ms = min(self._drain.start_until_ms, self._end_by_ms - upper_ms)
+        mean_ms = max(1.0, mean_ms)
+        remaining_ms = max(0.0, until_ms - now_ms)
         free_slots = self.limit - self.running
-        starts = free_slots * (1 + (until_ms - now_ms) // mean_ms)
+        starts = free_slots * (1 + remaining_ms // mean_ms)
         # A slot becomes free each time that a run in it ends.
         starts += sum(
             max(0.0, until_ms - start_ms) // mean_ms
@@ -311,7 +322,7 @@
         rate_per_s = self.rate_limit_per_s
         if rate_per_s is None:
             return starts
-        return min(starts, math.ceil((until_ms - now_ms) * rate_per_s / 1000))
+        return min(starts, math.ceil(remaining_ms * rate_per_s / 1000))
 
     def _is_too_late(self, request: AdmissionRequest, now_ms: float) -> bool:
         """Returns whether a run would wait in the queue beyond its deadline."""
--- a/mimosahaven/mesh/shutdown.py
+++ b/mimosahaven/mesh/shutdown.py
@@ -40,6 +40,7 @@
     daemon.followers.publish(daemon.heartbeat())
     end_ms = term_ms + daemon.settings.bounds.grace_s * 1000 - KILL_MARGIN_MS
     daemon.outbound.stop_ms = daemon.runner.stop_ms = end_ms
+    daemon.admission.stop_ms = end_ms
     while (now_ms := clock.monotonic_ms()) < end_ms:
         if now_ms - term_ms > SERVE_AFTER_TERM_MS:
             daemon.runner.refuse_code = codes.Code.LEAVING
--- a/mimosahaven/mesh/targetdrain.py
+++ b/mimosahaven/mesh/targetdrain.py
@@ -49,18 +49,20 @@
             self._stopped_ms = now_ms
         return was_serving and not serving
 
-    def start_until_ms(self, run_ms: float) -> float:
-        """Returns until when a run may start.
+    @property
+    def start_until_ms(self) -> float:
+        """Time until which runs may start; infinite while the target serves."""
+        if self._stopped_ms is None:
+            return math.inf
+        return self._stopped_ms + max(0.0, self.drain_ms - LATENESS_MARGIN_MS)
 
-        The target may exit at the end of the drain. A run that may last longer
-        is not started if it can run elsewhere.
+    @property
+    def end_by_ms(self) -> float:
+        """Time by which runs have to end, since the target may exit then.
 
-        Args:
-          run_ms: How long the run may last.
+        Infinite if there is no other target: a run that may be cut off is then
+        better than none.
         """
-        if self._stopped_ms is None:
+        if self._stopped_ms is None or not self._has_alternative:
             return math.inf
-        reserved_ms = LATENESS_MARGIN_MS
-        if self._has_alternative:
-            reserved_ms = max(reserved_ms, run_ms)
-        return self._stopped_ms + max(0.0, self.drain_ms - reserved_ms)
+        return self._stopped_ms + self.drain_ms
--- a/tests/mesh/test_shutdown.py
+++ b/tests/mesh/test_shutdown.py
@@ -173,6 +173,43 @@
         statuses = asyncio.run(asyncio.wait_for(scenario(), 30))
         self.assertEqual([200] * 6, statuses)
 
+    def test_queued_runs_that_would_outlast_the_grace_period(self):
+        # Guards against orders that get 502 though they have never run: the
+        # daemon ended with them in its queue.
+        async def scenario():
+            route = samples.route(
+                repeat_rule=records.RepeatRule.ONCE, timeout_ms=DEADLINE_MS
+            )
+            services = ["katalog", "katalog", "ordre"]
+            handlers = [self.target_that_takes(0.6)] * 3
+            async with fleet_lib.Fleet(
+                services, handlers, [route], slots=3
+            ) as fleet:
+                daemon = fleet.daemons[0]
+                set_grace(daemon)
+                orders = [
+                    asyncio.ensure_future(
+                        fleet.send_request(
+                            2,
+                            attempt=f"r{number}",
+                            method="POST",
+                            body=b"x",
+                            deadline_ms=DEADLINE_MS,
+                        )
+                    )
+                    for number in range(16)
+                ]
+                await fleet_lib.wait_until(
+                    lambda: daemon.admission.waiting == 6
+                )
+                await self.drain_and_stop(daemon)
+                responses = await asyncio.gather(*orders)
+                return [status for status, _, _ in responses]
+
+        statuses = asyncio.run(asyncio.wait_for(scenario(), 30))
+        self.assertEqual([200] * 16, statuses)
+        self.assertEqual({1}, set(self.run_counts.values()))
+
     def stop_with_pipelined_requests(self, work_s, request_count):
         """Stops a daemon that has passed on pipelined requests.
 
