mesh: keep whole responses for inquiries

What callers saw: 200 with the signature of the target and an empty body, for an order whose response has over 64 KiB, when the connection between two daemons fell silent.

Cause: the outcome that was kept for an inquiry was the stream that had already been read for the silent connection. What was left of it was sent as the whole body.

While it is kept, reading from the target does not depend on the first reader.

--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -244,9 +244,8 @@
         self, outcome: outcomes.Answered, load: frames.Load
     ) -> None:
         stream = outcome.stream
-        # A complete body stays in the stream, for a later inquiry.
         complete = stream.complete
-        body = bytes(stream.body) if complete else await stream.read()
+        body = await stream.read()
         self._write(
             frames.Answer(
                 stream.status,
@@ -265,7 +264,8 @@
             while data := await stream.read():
                 self._write(frames.Data(data))
                 await self.drain()
-                if self._lost:
+                # An inquiry may need the rest of a response that is kept.
+                if self._lost and not stream.is_kept:
                     break
         finally:
             stream.cancel()
--- a/mimosahaven/mesh/responsestream.py
+++ b/mimosahaven/mesh/responsestream.py
@@ -5,6 +5,7 @@
 
 from mimosahaven import codes
 from mimosahaven.mesh import http1
+from mimosahaven.mesh import keptanswers
 
 # Responses up to this size are buffered until complete, so that a truncated
 # one can be retried instead of being forwarded in part.
@@ -28,6 +29,7 @@
       on_pause: Called with True to pause the sender and False to resume it.
       on_cancel: Called if the rest of the response is no longer needed.
       on_end: Called once when the stream has ended, in this order.
+      kept: Copy of the whole body for inquiries, or None.
     """
 
     __slots__ = (
@@ -37,6 +39,7 @@
         "body",
         "failure",
         "headers",
+        "kept",
         "on_cancel",
         "on_end",
         "on_pause",
@@ -59,10 +62,16 @@
         self.on_pause: Callable[[bool], None] | None = None
         self.on_cancel: Callable[[], None] | None = None
         self.on_end: list[Callable[[], None]] = []
+        self.kept: keptanswers.KeptBody | None = None
         self._paused = False
         self._waiter: asyncio.Future | None = None
         self._time_limit: asyncio.TimerHandle | None = None
 
+    @property
+    def is_kept(self) -> bool:
+        """Whether a copy of the whole body is kept."""
+        return self.kept is not None and not self.kept.is_lost
+
     @property
     def ended(self) -> bool:
         """Whether the response is complete or has failed."""
@@ -75,13 +84,50 @@
         self.status, self.reason, self.headers = status, reason, headers
 
     def feed(self, data: bytes) -> None:
-        """Appends data to the body; pauses the sender above PAUSE_BYTES."""
+        """Appends data to the body; pauses the sender above PAUSE_BYTES.
+
+        The sender of a body that is kept is not paused: its reader may be gone
+        without notice, and an inquiry needs the whole body.
+        """
         self.body += data
+        if self.kept is not None:
+            self.kept.append(data)
         self._wake()
-        if len(self.body) > PAUSE_BYTES and not self._paused and self.on_pause:
+        if (
+            len(self.body) > PAUSE_BYTES
+            and not self._paused
+            and not self.is_kept
+            and self.on_pause
+        ):
             self._paused = True
             self.on_pause(True)
 
+    def keep(self, kept: keptanswers.KeptBody) -> None:
+        """Copies the body, of which nothing has been read, and what follows."""
+        kept.append(self.body)
+        self.kept = kept
+
+    async def replay(self) -> "ResponseStream | None":
+        """Returns a new stream with the kept response, once it is complete.
+
+        Returns:
+          The stream, or None if the response is not complete or not kept.
+        """
+        if not self.ended:
+            has_ended = asyncio.get_running_loop().create_future()
+            self.on_end.append(
+                lambda: has_ended.done() or has_ended.set_result(None)
+            )
+            await has_ended
+        if not self.complete or not self.is_kept:
+            return None
+        copy = ResponseStream()
+        copy.set_head(self.status, self.reason, self.headers)
+        copy.tree, copy.slot_ms = self.tree, self.slot_ms
+        copy.feed(bytes(self.kept.data))
+        copy.feed_eof()
+        return copy
+
     def feed_eof(self) -> None:
         """Marks the body as complete."""
         if not self.ended:
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -14,6 +14,7 @@
 from mimosahaven.mesh import http1
 from mimosahaven.mesh import httpclient
 from mimosahaven.mesh import inflight as inflight_lib
+from mimosahaven.mesh import keptanswers
 from mimosahaven.mesh import outcomes
 from mimosahaven.mesh import responsestream
 from mimosahaven.mesh import sendrecords
@@ -93,6 +94,7 @@
         ] = {}
         self._running: dict[httpclient.ClientConnection, frames.Run] = {}
         self.send_records = sendrecords.SendRecords(incarnation, now_ms)
+        self._kept_bodies = keptanswers.KeptBodies()
         self._announcement_reader = announcements.AnnouncementReader(
             settings.headers
         )
@@ -131,6 +133,8 @@
         outcome: outcomes.Outcome = outcomes.Failed(Code.TARGET_LOST)
         try:
             outcome = await self._admit_and_run(send)
+            if isinstance(outcome, outcomes.Answered):
+                outcome.stream.keep(self._kept_bodies.add())
         finally:
             recorded.set_result(outcome)
         return outcome
@@ -142,7 +146,14 @@
             return outcomes.Failed(Code.RECORD_LOST)
         if record.outcome is None:
             return outcomes.Refused(Code.BARRED)
-        return await asyncio.shield(record.outcome)
+        outcome = await asyncio.shield(record.outcome)
+        if not isinstance(outcome, outcomes.Answered):
+            return outcome
+        # The stream itself may have been read in part, for the sender.
+        stream = await outcome.stream.replay()
+        if stream is None:
+            return outcomes.Failed(Code.ANSWER_TRUNCATED)
+        return outcomes.Answered(stream)
 
     def tick(self, now_ms: float) -> None:
         """Does the periodic work.
@@ -153,7 +164,8 @@
         self._apply_decisions(self.admission.tick(now_ms))
         self.pool.expire(now_ms)
         self.monitor.tick(len(self.in_flight), now_ms)
-        self.send_records.tick(now_ms)
+        for record in self.send_records.tick(now_ms):
+            _discard_response(record)
 
     async def _admit_and_run(self, send: outcomes.Send) -> outcomes.Outcome:
         now_ms = clock.monotonic_ms()
@@ -381,3 +393,13 @@
         if stream.status < 300 and not is_signed:
             return outcomes.Failed(Code.ANSWER_TRUNCATED)
         return outcomes.Answered(stream)
+
+
+def _discard_response(record: sendrecords.SendRecord) -> None:
+    """Frees the response of a send about which nothing can be told any more."""
+    recorded = record.outcome
+    if recorded is None or not recorded.done():
+        return
+    outcome = recorded.result()
+    if isinstance(outcome, outcomes.Answered):
+        outcome.stream.kept.discard()
--- a/mimosahaven/mesh/sendrecords.py
+++ b/mimosahaven/mesh/sendrecords.py
@@ -123,19 +123,25 @@
             return None
         return records.get(send_id) or self._bar(send_id, generation)
 
-    def tick(self, now_ms: float) -> None:
-        """Begins a new generation when it is due, and discards the oldest."""
+    def tick(self, now_ms: float) -> list[SendRecord]:
+        """Begins a new generation when it is due, and discards the oldest.
+
+        Returns:
+          The discarded records.
+        """
         is_old = now_ms - self._started_ms >= GENERATION_MS
         is_full = len(self._generations[self.current]) >= GENERATION_RECORDS_MAX
         if not is_old and not is_full:
-            return
+            return []
         self._started_ms = now_ms
         self.current = frames.RecordGeneration(
             self.current.incarnation, self.current.number + 1
         )
         self._generations[self.current] = {}
-        if len(self._generations) > GENERATIONS_KEPT:
-            self._generations.popitem(last=False)
+        if len(self._generations) <= GENERATIONS_KEPT:
+            return []
+        _, discarded = self._generations.popitem(last=False)
+        return list(discarded.values())
 
     def _bar(
         self, send_id: str, generation: frames.RecordGeneration
