mesh: let only runs that had waited exceed the length of a queue

A run that a leaving target's daemon refuses when it arrives finds another target as any new run does. Only one that has waited in a queue may exceed the length of the next one; the refusal says so. Without this, all runs that reach a stopping daemon would lengthen the queues of the others during a rolling restart, and wait there instead of being refused.

--- a/mimosahaven/mesh/admission.py
+++ b/mimosahaven/mesh/admission.py
@@ -54,7 +54,7 @@
       shed_priority: Shedding priority of the root request.
       deadline_ms: Time by which the run must have ended.
       root_ms: Start time of the root request.
-      rerouted: Whether a target that leaves has refused the run before.
+      rerouted: Whether the run has waited in the queue of a target that leaves.
       priority: Priority in the queue; higher runs first.
       important: Required by the queue but unused here; the priority alone
         decides.
--- a/mimosahaven/mesh/frames.py
+++ b/mimosahaven/mesh/frames.py
@@ -96,8 +96,8 @@
         that the sender has passed on; None for no limit.
       generation: Generation of records in the Pong that preceded an
         at-most-once run; None if there was none in it.
-      rerouted: Whether the daemon of a target that leaves has refused the
-        request before.
+      rerouted: Whether the request has waited in the queue of a target that
+        leaves.
     """
 
     sender_host: str
@@ -176,12 +176,14 @@
       load: Load of the target.
       generation: In reply to an Inquire, the generation of the records that
         show it; None if there are no such records.
+      queued: Whether the run had been waiting in the queue of the daemon.
     """
 
     code: int
     arrived: bool
     load: Load
     generation: RecordGeneration | None = None
+    queued: bool = False
 
 
 class Failed(_Frame):
--- a/mimosahaven/mesh/outcomes.py
+++ b/mimosahaven/mesh/outcomes.py
@@ -41,10 +41,12 @@
     Attributes:
       code: Result code, which gives the reason.
       arrived: Whether the target itself refused it, and not its daemon.
+      queued: Whether it had been waiting in the queue of the daemon.
     """
 
     code: Code
     arrived: bool = False
+    queued: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/mimosahaven/mesh/peerpool.py
+++ b/mimosahaven/mesh/peerpool.py
@@ -283,7 +283,9 @@
                     self._on_load(host, frame.load)
                     if not _is_proved(frame, request):
                         return outcomes.Failed(Code.RECORD_LOST)
-                    return outcomes.Refused(Code(frame.code), frame.arrived)
+                    return outcomes.Refused(
+                        Code(frame.code), frame.arrived, frame.queued
+                    )
                 case frames.Failed():
                     self._on_load(host, frame.load)
                     return outcomes.Failed(Code(frame.code))
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -232,7 +232,11 @@
             case outcomes.Refused():
                 self._write(
                     frames.Refused(
-                        int(outcome.code), outcome.arrived, load, generation
+                        int(outcome.code),
+                        outcome.arrived,
+                        load,
+                        generation,
+                        outcome.queued,
                     )
                 )
             case outcomes.Failed():
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -179,6 +179,7 @@
         decision = asyncio.get_running_loop().create_future()
         self._pending_decisions[admission_request] = decision
         self._apply_decisions(self.admission.offer(admission_request, now_ms))
+        queued = not decision.done()
         try:
             code = await decision
         except asyncio.CancelledError:
@@ -191,7 +192,7 @@
                 self.admission.cancel(admission_request, clock.monotonic_ms())
             raise
         if code is not None:
-            return outcomes.Refused(code)
+            return outcomes.Refused(code, queued=queued)
         outcome = await self._run_admitted(send)
         if isinstance(outcome, outcomes.Answered):
             self._duration.record(clock.monotonic_ms() - now_ms)
--- a/mimosahaven/mesh/sendhistory.py
+++ b/mimosahaven/mesh/sendhistory.py
@@ -28,7 +28,8 @@
       excluded: IDs of targets that must not be sent the request again, or
         whose daemon refused it.
       arrived: IDs of targets that the request has reached.
-      rerouted: Whether the daemon of a target that leaves has refused it.
+      rerouted: Whether the request has waited in the queue of a target that
+        leaves.
     """
 
     def __init__(self, targets_max: int):
@@ -69,7 +70,7 @@
     ) -> None:
         """Records the outcome of a send that gave no response."""
         self.send_count += 1
-        if outcome.code is codes.Code.LEAVING:
+        if outcome.code is codes.Code.LEAVING and outcome.queued:
             self.rerouted = True
         if isinstance(outcome, outcomes.Failed) or outcome.arrived:
             self._arrived_count += 1
