Revert "mesh: lose no run to the end of a planned stop"

Not better: closing the connections of other daemons after the end of the drain keeps a target out for some 0.2 s longer at each restart.

The fault itself, a run that is lost between the reply to a ping and the end of the process, stays to be changed in another way.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -30,7 +30,6 @@
 from mimosahaven.mesh import outbound as outbound_lib
 from mimosahaven.mesh import peerpool
 from mimosahaven.mesh import peerprobe
-from mimosahaven.mesh import peerserver
 from mimosahaven.mesh import records
 from mimosahaven.mesh import replica as replica_lib
 from mimosahaven.mesh import report
@@ -124,8 +123,6 @@
         self._caller_connections: set[callerserver.CallerConnection] = set()
         # Replies to other daemons that are being written.
         self.peer_reply_count = 0
-        self.peer_connections: set[peerserver.PeerServerConnection] = set()
-        self.closes_peer_connections = False
         self._servers: list[asyncio.Server] = []
         self.term_ms: float | None = None
         self.last_request_ms = now_ms
@@ -310,12 +307,6 @@
         for connection in list(self._caller_connections):
             connection.close_if_idle()
 
-    def close_idle_peer_connections(self) -> None:
-        """Closes connections of other daemons once no run can be lost."""
-        now_ms = clock.monotonic_ms()
-        for connection in list(self.peer_connections):
-            connection.close_if_idle(now_ms)
-
     def end_exchanges(self) -> None:
         """Ends the requests of callers that have no response yet."""
         for connection in list(self._caller_connections):
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -14,26 +14,15 @@
 from mimosahaven.mesh import settings as settings_lib
 from mimosahaven.mesh import subscriptions
 
-# A run follows the reply to the ping before it within this time. An idle
-# connection is closed only after it, so that no run is lost.
-RUN_AFTER_PING_MS = 100.0
-
 
 class PeerHandler(typing.Protocol):
-    """Interface of the daemon that peer connections use.
-
-    Attributes:
-      closes_peer_connections: Whether the daemon is about to exit, so that no
-        further exchange may begin.
-    """
+    """Interface of the daemon that peer connections use."""
 
     settings: settings_lib.MeshSettings
     runner: runner_lib.Runner
     tasks: tasks_lib.BackgroundTasks
     followers: subscriptions.Followers
     peer_reply_count: int
-    closes_peer_connections: bool
-    peer_connections: set["PeerServerConnection"]
 
     def run_refusal_code(self) -> codes.Code | None:
         """Returns the code with which a run is refused, or None."""
@@ -66,7 +55,6 @@
         self._decoder = frames.FrameDecoder()
         self._task: asyncio.Task | None = None
         self._confirmation_timer: asyncio.TimerHandle | None = None
-        self._received_ms = 0.0
         # Whether the task goes on after a disconnection, for a later inquiry.
         self._runs_past_disconnect = False
         self._lost = False
@@ -74,7 +62,6 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport."""
         self._transport = transport
-        self._handler.peer_connections.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Decodes and handles frames."""
@@ -86,7 +73,6 @@
             self._handler.on_frame_error(host, str(error))
             self._transport.abort()
             return
-        self._received_ms = clock.monotonic_ms()
         for frame in decoded:
             self._on_frame(frame)
 
@@ -97,7 +83,6 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancels the run, unless a later inquiry may need its outcome."""
         self._lost = True
-        self._handler.peer_connections.discard(self)
         self._handler.followers.discard(self)
         if self._task is not None and not self._runs_past_disconnect:
             self._task.cancel()
@@ -123,10 +108,6 @@
                     frame.table_version,
                     frame.list_revision,
                 )
-                if handler.closes_peer_connections:
-                    # Without a reply, nothing is sent on the connection.
-                    self._transport.close()
-                    return
                 self._write(
                     frames.Pong(
                         handler.load(), handler.runner.send_records.current
@@ -158,12 +139,6 @@
         """Aborts the connection."""
         self._transport.abort()
 
-    def close_if_idle(self, now_ms: float) -> None:
-        """Closes the connection unless an exchange goes on or may begin."""
-        is_busy = self._task is not None and not self._task.done()
-        if not is_busy and now_ms - self._received_ms > RUN_AFTER_PING_MS:
-            self._transport.close()
-
     def _start(self, coroutine) -> None:
         self._task = self._handler.tasks.spawn(coroutine)
 
--- a/mimosahaven/mesh/shutdown.py
+++ b/mimosahaven/mesh/shutdown.py
@@ -22,8 +22,7 @@
 DRAIN_IDLE_MS = 200.0
 # Interval at which the end of the work is checked for.
 CHECK_INTERVAL_MS = 50.0
-# Time for callers to receive the responses to requests that have been ended,
-# and for other daemons to stop using their connections.
+# Time for callers to receive the responses to requests that have been ended.
 FLUSH_MS = 300.0
 
 
@@ -58,11 +57,9 @@
         daemon.end_exchanges()
     # What has been read by now is still answered.
     daemon.close_listeners()
-    daemon.closes_peer_connections = True
     flushed_ms = clock.monotonic_ms() + FLUSH_MS
     while clock.monotonic_ms() < flushed_ms:
-        if not daemon.caller_connection_count and not daemon.peer_connections:
+        if not daemon.caller_connection_count:
             break
         daemon.close_idle_connections()
-        daemon.close_idle_peer_connections()
         await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
