mesh: refuse pings shortly before a planned stop may end

What callers saw: an order whose run reached a daemon in the moment in which it exited got 502, though it never ran and another target could have taken it.

Cause: an at-most-once run follows the reply to a ping. The process ended between the two, with the run unread in its socket, and the next process can no longer bar it.

The change: from 100 ms before the earliest end of the process, a ping is refused (LEAVING) instead of replied to, so that no run is on its way when it ends.

--- a/mimosahaven/mesh/daemon.py
+++ b/mimosahaven/mesh/daemon.py
@@ -182,6 +182,10 @@
             return Code.STALE_AFTER_PAUSE
         return None
 
+    def refuses_pings(self) -> bool:
+        """Returns whether this daemon may end before a run after a ping."""
+        return shutdown.refuses_pings(self, clock.monotonic_ms())
+
     def state_newer_than(
         self, request: frames.Fetch | frames.Follow
     ) -> frames.State:
--- a/mimosahaven/mesh/peerpool.py
+++ b/mimosahaven/mesh/peerpool.py
@@ -60,6 +60,8 @@
             connection = await self._acquire(host)
         if connection is None:
             return outcomes.Refused(Code.LINK_LOST)
+        if isinstance(connection, outcomes.Refused):
+            return connection
         now_ms = clock.monotonic_ms()
         send.run.remaining_ms = send.deadline_ms - now_ms
         send.run.root_age_ms = now_ms - send.root_ms
@@ -173,12 +175,16 @@
 
     async def _acquire_verified(
         self, host: str, send: outcomes.Send
-    ) -> peerconnection.PeerConnection | None:
+    ) -> peerconnection.PeerConnection | outcomes.Refused | None:
         """Returns a connection on which the peer has just replied to a ping.
 
         If a peer does not reply to a run, it is unknown whether the run has
         arrived, and an at-most-once run must not be sent to another target. A
         ping beforehand avoids most such cases.
+
+        Returns:
+          The connection, the refusal with which the peer has replied, or None
+          if the peer does not reply.
         """
         connection = await self._acquire(host)
         for _ in range(2):
@@ -207,6 +213,10 @@
                 self._on_load(host, frame.load)
                 run.generation = frame.generation
                 return connection
+            if isinstance(frame, frames.Refused):
+                self._on_load(host, frame.load)
+                self._release(host, connection)
+                return outcomes.Refused(Code(frame.code))
             connection.close()
             return None
         return None
--- a/mimosahaven/mesh/peerserver.py
+++ b/mimosahaven/mesh/peerserver.py
@@ -27,6 +27,9 @@
     def run_refusal_code(self) -> codes.Code | None:
         """Returns the code with which a run is refused, or None."""
 
+    def refuses_pings(self) -> bool:
+        """Returns whether the daemon may end before a run after a ping."""
+
     def load(self) -> frames.Load:
         """Returns the load of the local target."""
 
@@ -108,11 +111,7 @@
                     frame.table_version,
                     frame.list_revision,
                 )
-                self._write(
-                    frames.Pong(
-                        handler.load(), handler.runner.send_records.current
-                    )
-                )
+                self._reply_to_ping()
             case frames.Inquire():
                 self._runs_past_disconnect = True
                 self._start(self._serve_inquiry(frame))
@@ -129,6 +128,14 @@
                 self._write(handler.heartbeat())
                 handler.followers.add(self)
 
+    def _reply_to_ping(self) -> None:
+        load = self._handler.load()
+        if self._handler.refuses_pings():
+            self._write(frames.Refused(int(codes.Code.LEAVING), False, load))
+            return
+        generation = self._handler.runner.send_records.current
+        self._write(frames.Pong(load, generation))
+
     def push(self, data: bytes) -> int:
         """Sends an encoded frame and returns the size of the write buffer."""
         if not self._lost and not self._transport.is_closing():
--- a/mimosahaven/mesh/shutdown.py
+++ b/mimosahaven/mesh/shutdown.py
@@ -14,6 +14,9 @@
 # then on, the target is idle until its daemon has restarted; with a longer
 # drain, a rolling restart would take out several targets of a service at once.
 SERVE_AFTER_TERM_MS = 2_300.0
+# Pings that precede an at-most-once run are refused from this long before the
+# earliest end of the process, so that no run is on its way then.
+RUN_AFTER_PING_MS = 100.0
 # The drain ends this long before the process would be killed; closing all
 # connections takes up to half a second on a busy VM.
 KILL_MARGIN_MS = 900.0
@@ -26,6 +29,16 @@
 FLUSH_MS = 300.0
 
 
+def refuses_pings(daemon: "daemon_lib.MeshDaemon", now_ms: float) -> bool:
+    """Returns whether the process may end before a run that follows a ping."""
+    if daemon.term_ms is None:
+        return False
+    earliest_end_ms = min(
+        daemon.term_ms + SERVE_AFTER_TERM_MS, daemon.runner.stop_ms
+    )
+    return now_ms > earliest_end_ms - RUN_AFTER_PING_MS
+
+
 async def drain(daemon: "daemon_lib.MeshDaemon") -> None:
     """Finishes the work in flight of a stopping daemon.
 
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -1,5 +1,8 @@
 """Runs the platform's program, platform/daemon.py, as a separate process."""
 
+import asyncio
+import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -13,8 +16,10 @@
 from testtools import matchers
 
 from mimosahaven import listening
+from mimosahaven.mesh import frames
 from mimosahaven.testing import ports as ports_lib
 from mimosahaven.testing import processes
+from tests.mesh import test_frames
 
 HOST = "127.0.0.1"
 TIMEOUT_S = 60
@@ -91,6 +96,54 @@
         self.assertEqual(0, process.wait(TIMEOUT_S))
         self.assertEqual("stopped", self.events()[-1])
 
+    def test_no_run_that_follows_a_ping_is_lost_at_a_planned_stop(self):
+        # Guards against orders with an unknown outcome at a planned restart:
+        # the process ended between its reply to a ping and the run after it.
+        process = self.start()
+        self.wait_for_event("store lost")
+        lost = asyncio.run(
+            asyncio.wait_for(self.send_until_closed(process), TIMEOUT_S)
+        )
+        self.assertEqual(0, process.wait(TIMEOUT_S))
+        self.assertEqual([], lost)
+
+    async def send_until_closed(self, process):
+        """Sends pings and runs while the process stops; returns lost runs."""
+        host, port = self.settings["listen"]["peers"].split(":")
+        lost = []
+
+        async def exchange(reader, writer, decoder, frame):
+            writer.write(frames.encode(frame))
+            received = []
+            while not received:
+                data = await reader.read(65536)
+                if not data:
+                    raise ConnectionResetError
+                received = decoder.feed(data)
+            return received[0]
+
+        async def send(sender):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            decoder = frames.FrameDecoder()
+            with contextlib.suppress(ConnectionError):
+                for number in itertools.count():
+                    ping = frames.Ping("127.0.0.2", 0, 0)
+                    reply = await exchange(reader, writer, decoder, ping)
+                    if not isinstance(reply, frames.Pong):
+                        continue
+                    run = test_frames.run(send_id=f"{sender}#{number}")
+                    lost.append(run.send_id)
+                    await exchange(reader, writer, decoder, run)
+                    lost.remove(run.send_id)
+            writer.close()
+
+        async with asyncio.TaskGroup() as senders:
+            for sender in range(8):
+                senders.create_task(send(sender))
+            await asyncio.sleep(0.2)
+            process.send_signal(signal.SIGTERM)
+        return lost
+
     def test_heavy_modules_are_never_imported(self):
         # Each of these takes 0.5 to 10 MB, on every VM.
         process = self.start(options=("-X", "importtime"))
