--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -26,7 +26,7 @@
 # A daemon is bound by an announcement this long after it has passed it on.
 LIMIT_KNOWN_S = 0.5
 # Faults after which a daemon is not bound by what it passed on before.
-FORGETTING = {"term", "kill", "term_then_kill", "pause"}
+FORGETTING = {"term", "kill", "power_loss", "term_then_kill", "pause"}
 # The specification requires that a quarter succeed after RECOVER_S. As nothing
 # is overloaded here, nearly all requests must succeed; the tolerance allows for
 # responses that targets drop.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -41,6 +41,9 @@
     b'"born": "yesterday"',
     b"\xff",
 )
+# Faults that are injected only with a focus on them, so that the seeds of
+# earlier soaks still draw the same faults.
+FOCUS_ONLY = {"power_loss"}
 # Faults that overlap with others of the same VM.
 OVERLAPPING = {"limit_target"}
 
@@ -69,6 +72,22 @@
     await _wait_until_restarted(harness, vm, incarnation)
 
 
+@register
+async def power_loss(harness, vm, duration_s):
+    """Kills a daemon without a sign on its connections, while work runs.
+
+    It is back before its peers give the connections up.
+    """
+    target = harness.targets[vm]
+    if target is not None:
+        target.slow_factor = 40.0
+        await asyncio.sleep(duration_s / 3)
+    harness.forwarders[vm].discard()
+    await kill(harness, vm, duration_s)
+    if target is not None:
+        target.slow_factor = 1.0
+
+
 @register
 async def term_then_kill(harness, vm, duration_s):
     """Kills a daemon during its planned stop."""
@@ -305,7 +324,9 @@
 
     while time.monotonic() < end_s:
         in_focus = focus and rng.random() < 0.5
-        name = rng.choice(sorted(focus if in_focus else FAULTS))
+        name = rng.choice(
+            sorted(focus if in_focus else FAULTS.keys() - FOCUS_ONLY)
+        )
         vm = rng.randrange(harness.count)
         fault_s = rng.uniform(0.3, 3.0)
         if vm not in busy_vms or name in OVERLAPPING:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -39,6 +39,9 @@
     def test_a_short_soak_of_cut_stores_and_odd_entries(self):
         self.run_soak(3, ("store_cut", "odd_entry", "table"))
 
+    def test_a_short_soak_of_power_losses(self):
+        self.run_soak(4, ("power_loss",))
+
     def test_regression_seeds(self):
         for seed, (focus, _) in REGRESSION_SEEDS.items():
             self.run_soak(seed, focus)
