--- a/mimosahaven/mesh/responsestream.py
+++ b/mimosahaven/mesh/responsestream.py
@@ -5,7 +5,7 @@
 
 from mimosahaven import codes
 from mimosahaven.mesh import http1
-from mimosahaven.mesh import keptanswers
+from mimosahaven.mesh import keptbodies
 
 # Responses up to this size are buffered until complete, so that a truncated
 # one can be retried instead of being forwarded in part.
@@ -62,7 +62,7 @@
         self.on_pause: Callable[[bool], None] | None = None
         self.on_cancel: Callable[[], None] | None = None
         self.on_end: list[Callable[[], None]] = []
-        self.kept: keptanswers.KeptBody | None = None
+        self.kept: keptbodies.KeptBody | None = None
         self._paused = False
         self._waiter: asyncio.Future | None = None
         self._time_limit: asyncio.TimerHandle | None = None
@@ -102,7 +102,7 @@
             self._paused = True
             self.on_pause(True)
 
-    def keep(self, kept: keptanswers.KeptBody) -> None:
+    def keep(self, kept: keptbodies.KeptBody) -> None:
         """Copies the body, of which nothing has been read, and what follows."""
         kept.append(self.body)
         self.kept = kept
--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -14,7 +14,7 @@
 from mimosahaven.mesh import http1
 from mimosahaven.mesh import httpclient
 from mimosahaven.mesh import inflight as inflight_lib
-from mimosahaven.mesh import keptanswers
+from mimosahaven.mesh import keptbodies
 from mimosahaven.mesh import outcomes
 from mimosahaven.mesh import responsestream
 from mimosahaven.mesh import sendrecords
@@ -94,7 +94,7 @@
         ] = {}
         self._running: dict[httpclient.ClientConnection, frames.Run] = {}
         self.send_records = sendrecords.SendRecords(incarnation, now_ms)
-        self._kept_bodies = keptanswers.KeptBodies()
+        self._kept_bodies = keptbodies.KeptBodies()
         self._announcement_reader = announcements.AnnouncementReader(
             settings.headers
         )
--- a/tests/mesh/test_keptanswers.py
+++ b/tests/mesh/test_keptbodies.py
@@ -11,7 +11,7 @@
 from mimosahaven import clock
 from mimosahaven import codes
 from mimosahaven.mesh import frames
-from mimosahaven.mesh import keptanswers
+from mimosahaven.mesh import keptbodies
 from mimosahaven.mesh import outcomes
 from mimosahaven.mesh import responsestream
 from tests.mesh import fleet as fleet_lib
@@ -24,7 +24,7 @@
 class KeptBodiesTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.bodies = keptanswers.KeptBodies(bytes_max=100)
+        self.bodies = keptbodies.KeptBodies(bytes_max=100)
 
     def test_the_oldest_body_makes_room(self):
         first, second = self.bodies.add(), self.bodies.add()
