--- a/tests/mesh/test_draining_queue.py
+++ b/tests/mesh/test_draining_queue.py
@@ -185,6 +185,12 @@
             **changes,
         )
 
+    def arrived(self, fleet, starts):
+        """Returns how many orders have started, or wait in a queue."""
+        return sum(map(len, starts.values())) + sum(
+            daemon.admission.waiting for daemon in fleet.daemons
+        )
+
     def leave_under_load(self, services, leave):
         """Sends all orders at once; returns statuses and start times.
 
@@ -223,7 +229,9 @@
                     )
                     for number in range(self.ORDERS)
                 ]
-                await asyncio.sleep(0.1)
+                await fleet_lib.wait_until(
+                    lambda: self.arrived(fleet, starts) == self.ORDERS
+                )
                 await leave(fleet)
                 self.left_s = time.monotonic()
                 return [
