mesh: tell a sender of the former version a code that it knows

During a release, a daemon of the former version that asks a new one about a send without a record would get RECORD_LOST, which it cannot decode: its caller would get 500 (INTERNAL) and the connection would not be released. By reading its code; not seen. It is told TARGET_LOST, an unknown outcome as well.

--- a/mimosahaven/mesh/runner.py
+++ b/mimosahaven/mesh/runner.py
@@ -129,7 +129,7 @@
         if arrival is sendrecords.Arrival.BARRED:
             return outcomes.Refused(Code.BARRED)
         if arrival is not sendrecords.Arrival.NEW:
-            return outcomes.Failed(Code.RECORD_LOST)
+            return _record_lost(send.run.generation)
         outcome: outcomes.Outcome = outcomes.Failed(Code.TARGET_LOST)
         try:
             outcome = await self._admit_and_run(send)
@@ -143,7 +143,7 @@
         """Returns the outcome of a send; bars it if it has not arrived."""
         record = self.send_records.inquire(inquiry.send_id, inquiry.generation)
         if record is None:
-            return outcomes.Failed(Code.RECORD_LOST)
+            return _record_lost(inquiry.generation)
         if record.outcome is None:
             return outcomes.Refused(Code.BARRED)
         outcome = await asyncio.shield(record.outcome)
@@ -396,6 +396,18 @@
         return outcomes.Answered(stream)
 
 
+def _record_lost(
+    generation: frames.RecordGeneration | None,
+) -> outcomes.Failed:
+    """Returns the outcome of a send about which nothing is known any more.
+
+    A sender of the version without generations does not know RECORD_LOST.
+    """
+    if generation is None:
+        return outcomes.Failed(Code.TARGET_LOST)
+    return outcomes.Failed(Code.RECORD_LOST)
+
+
 def _discard_response(record: sendrecords.SendRecord) -> None:
     """Frees the response of a send about which nothing can be told any more."""
     recorded = record.outcome
