--- a/tests/mesh/test_sendhistory.py
+++ b/tests/mesh/test_sendhistory.py
@@ -54,3 +54,15 @@
             self.assertFalse(self.history.is_exhausted)
             self.history.record("i-0", REFUSED_BY_TARGET)
         self.assertTrue(self.history.is_exhausted)
+
+
+class ReroutedTest(testtools.TestCase):
+    """Guards against queues that all runs refused for a stop may exceed."""
+
+    def test_only_a_run_that_had_waited_is_rerouted(self):
+        for queued in (False, True):
+            history = sendhistory.SendHistory(2)
+            history.record(
+                "i-1", outcomes.Refused(codes.Code.LEAVING, queued=queued)
+            )
+            self.assertEqual(queued, history.rerouted)
