--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -20,6 +20,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -222,7 +223,7 @@
         self._seq = 0
         self._running = 0
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._writers: dict[asyncio.StreamWriter, asyncio.StreamReader] = {}
 
     async def start(self) -> None:
         """Listens and registers."""
@@ -259,8 +260,13 @@
         for writer in list(self._writers):
             reset(writer)
 
+    def has_left(self, writer: asyncio.StreamWriter) -> bool:
+        """Returns whether the other end has closed a connection."""
+        reader = self._writers.get(writer)
+        return reader is None or reader.at_eof() or bool(reader.exception())
+
     async def _serve(self, reader, writer) -> None:
-        self._writers.add(writer)
+        self._writers[writer] = reader
         try:
             while True:
                 line, headers = await read_head(reader)
@@ -272,7 +278,7 @@
         except (asyncio.IncompleteReadError, OSError, ValueError):
             pass
         finally:
-            self._writers.discard(writer)
+            self._writers.pop(writer, None)
             writer.close()
 
     async def _handle(self, request: Request, writer) -> None:
@@ -715,6 +721,14 @@
         self._temporary.cleanup()
 
 
+async def _run(folder, case, trouble: bool) -> bool:
+    """Runs a case; SIGTERM and SIGINT end it in order."""
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await case(folder, trouble)
+
+
 def main(
     folder: pathlib.Path, case: Callable[[pathlib.Path, bool], Awaitable[bool]]
 ) -> None:
@@ -727,11 +741,14 @@
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        broken = asyncio.run(case(folder, trouble))
+        broken = asyncio.run(_run(folder, case, trouble))
+    except asyncio.CancelledError:
+        sys.stderr.write("ended by a signal\n")
+        sys.exit(2)
     except CannotRunError as error:
         sys.stderr.write(f"cannot run: {error}\n")
         sys.exit(2)
-    except OSError as error:
-        sys.stderr.write(f"cannot run: {error!r}\n")
+    except Exception:  # noqa: BLE001 - an error of the case shows nothing
+        traceback.print_exc()
         sys.exit(2)
     sys.exit(1 if broken else 0)
