--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,7 +14,7 @@
 # The rule counts what has no answer this long after the time-out.
 LATE_S = 0.5
 CLIENTS = 12
-ROUNDS = 3
+ROUNDS = 5
 # One of the two backends is in trouble.
 FAULTY = 0
 PIECE = b"p" * 10_000
